--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Copyright 2026 The ryehill Authors
+# SPDX-License-Identifier: Apache-2.0
+
+# Tools are built from the tools module, so that they do not weigh on go.mod.
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: all build check test race lint format generate bench fuzz
+
+all: check test
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+$(LINT): tools/go.mod tools/go.sum
+	cd tools && go build -o $(BIN)/ github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+check: $(LINT)
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || (gofmt -l $$(git ls-files '*.go'); exit 1)
+	go mod verify
+	go vet ./...
+	$(LINT) run ./...
+
+test:
+	go test -race -timeout 8m ./...
+
+format: $(LINT)
+	$(LINT) fmt ./...
+
+generate:
+	cd tools && go build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=protoc-gen-go=$(BIN)/protoc-gen-go --go_out=. --go_opt=paths=source_relative protocol/peerpb/peer.proto
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./state/... ./coordination/...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzDecodeObject -fuzztime 20s ./state/spec
+	go test -run '^$$' -fuzz FuzzRead -fuzztime 20s ./protocol/wire
--- /dev/null
+++ b/coordination/intent/apply.go
@@ -0,0 +1,87 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package intent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/state/spec"
+)
+
+// keepEnded is how long ended moves stay in the traffic object, so that they
+// can be asked about.
+const keepEnded = 24 * time.Hour
+
+// ErrPlanAgain reports a plan that was made from another edit of the traffic
+// object than the one in force: another operator was faster.
+var ErrPlanAgain = errors.New("intent: traffic has changed since the plan was made; plan again")
+
+// Apply returns the traffic object with a confirmed plan in it. It returns
+// ErrPlanAgain if the plan was made from another edit of the object, and a
+// *Refusal if the object would hold too much.
+func Apply(p Plan, t spec.Traffic, now time.Time) (spec.Traffic, error) {
+	if p.Edit != t.Edit {
+		return t, errors.Wrapf(ErrPlanAgain, "plan is for edit %d, in force is %d", p.Edit, t.Edit)
+	}
+	next := clone(t)
+	next.Edit++
+	next.Moves = slices.DeleteFunc(next.Moves, func(m spec.Move) bool {
+		return m.Ended() && m.Share == 0 && now.Sub(time.UnixMilli(m.Changed)) > keepEnded
+	})
+	for _, m := range p.Changes {
+		m.Note("confirmed by an operator", now)
+		next.Moves = append(next.Moves, m)
+	}
+	if p.Cap != nil {
+		next.Caps = slices.DeleteFunc(next.Caps, func(c spec.Cap) bool {
+			return c.Service == p.Cap.Service && c.From == p.Cap.From
+		})
+		next.Caps = append(next.Caps, *p.Cap)
+	}
+	if p.Leaving != "" {
+		next.Leaving = append(next.Leaving, p.Leaving)
+	}
+	if len(next.Moves) > spec.MaxMoves || len(next.Caps) > spec.MaxCaps {
+		return t, refuse("%d moves and %d caps would be in force; at most %d and %d", len(next.Moves), len(next.Caps), spec.MaxMoves, spec.MaxCaps)
+	}
+	return next, nil
+}
+
+// Stop returns the traffic object without the effects of an intent: its moves
+// are stopped at a share of nothing, its cap or drained upstream is removed.
+// It returns ErrIntent if nothing in force has this id.
+func Stop(t spec.Traffic, id string, now time.Time) (spec.Traffic, error) {
+	next := clone(t)
+	next.Edit++
+	found := false
+	for i := range next.Moves {
+		m := &next.Moves[i]
+		if (m.Intent == id || m.ID == id) && m.State != spec.MoveStopped {
+			m.Share = 0
+			if err := Advance(m, EventStop, "stopped by an operator", now); err != nil {
+				return t, err
+			}
+			found = true
+		}
+	}
+	before := len(next.Caps) + len(next.Leaving)
+	next.Caps = slices.DeleteFunc(next.Caps, func(c spec.Cap) bool { return c.ID == id })
+	next.Leaving = slices.DeleteFunc(next.Leaving, func(w string) bool { return w == id })
+	if !found && before == len(next.Caps)+len(next.Leaving) {
+		return t, errors.Wrapf(ErrIntent, "nothing in force has the id %q", id)
+	}
+	return next, nil
+}
+
+func clone(t spec.Traffic) spec.Traffic {
+	return spec.Traffic{
+		Edit:    t.Edit,
+		Moves:   slices.Clone(t.Moves),
+		Caps:    slices.Clone(t.Caps),
+		Leaving: slices.Clone(t.Leaving),
+	}
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,199 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/assign"
+	"github.com/ryehill/ryehill/coordination/controller"
+	"github.com/ryehill/ryehill/coordination/intent"
+	"github.com/ryehill/ryehill/coordination/spread"
+	"github.com/ryehill/ryehill/state/decision"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/transport/operator"
+	"github.com/ryehill/ryehill/transport/platform"
+)
+
+const (
+	kindLease spec.Kind = "lease"
+	// planLife is how long a plan that nobody confirmed is kept.
+	planLife = time.Hour
+	// sweepInterval is how often the controller looks for old plans.
+	sweepInterval = 10 * time.Minute
+)
+
+var leaseKey = spec.Key{Kind: kindLease, Name: "controller"}
+
+// leaseState is what the holder of the lease knows of it.
+type leaseState struct {
+	version uint64
+	renewal uint64
+	// good is until when the holder may act, counted from before it asked.
+	good   time.Time
+	looked time.Time
+	swept  time.Time
+	number uint64
+}
+
+// controlLoop steps moves, while this VM holds the controller's lease.
+func (d *Daemon) controlLoop(ctx context.Context) {
+	every(ctx, d.cfg.ControlInterval, func() {
+		if !d.busy() || d.life.Current() != phaseServing || !d.candidate() {
+			return
+		}
+		if !d.holdLease(ctx) {
+			return
+		}
+		d.step(ctx)
+		d.sweepPlans(ctx)
+	})
+}
+
+// busy reports whether any move may need a step. Without one, no VM asks for
+// the lease, so that an idle fleet costs the platform nothing.
+func (d *Daemon) busy() bool {
+	for _, m := range d.view.Load().Traffic().Moves {
+		if !m.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// candidate reports whether this VM is among the few that ask for the lease.
+func (d *Daemon) candidate() bool {
+	all := []string{d.cfg.VM}
+	for _, m := range d.members.All() {
+		if m.Usable() {
+			all = append(all, m.ID)
+		}
+	}
+	return contains(assign.Top("controller", all, controller.Candidates), d.cfg.VM)
+}
+
+func (d *Daemon) operation(what string) string {
+	d.lease.number++
+	return d.cfg.VM + "-" + what + "-" + strconv.FormatUint(d.self.Start, 36) + "-" + strconv.FormatUint(d.lease.number, 36)
+}
+
+// holdLease reports whether this VM holds the lease, taking or renewing it if
+// that is due.
+func (d *Daemon) holdLease(ctx context.Context) bool {
+	now := d.now()
+	if now.Before(d.lease.good.Add(-controller.LeaseTerm + controller.LeaseRenew)) {
+		return true
+	}
+	if now.Before(d.lease.good) && d.writeLease(ctx, platform.IfVersion(d.lease.version), now) {
+		return true
+	}
+	if now.Sub(d.lease.looked) < controller.LeaseRenew {
+		return false
+	}
+	d.lease.looked = now
+	o, err := d.platform.Get(ctx, leaseKey)
+	d.metrics.PlatformCall("lease", err)
+	if errors.Is(err, platform.ErrNotFound) {
+		return d.writeLease(ctx, platform.IfAbsent(), now)
+	}
+	var held controller.Lease
+	if err != nil || json.Unmarshal(o.Spec, &held) != nil {
+		return false
+	}
+	if !d.observer.Lapsed(held, now) {
+		return false
+	}
+	d.lease.renewal = held.Renewal
+	return d.writeLease(ctx, platform.IfVersion(o.Version), now)
+}
+
+// writeLease takes or renews the lease. The term runs from before the write.
+func (d *Daemon) writeLease(ctx context.Context, cond platform.Condition, asked time.Time) bool {
+	raw, err := json.Marshal(controller.Lease{Holder: d.cfg.VM, Start: d.self.Start, Renewal: d.lease.renewal + 1})
+	if err != nil {
+		return false
+	}
+	version, err := d.platform.Put(ctx, spec.Object{Key: leaseKey, Spec: raw}, cond, d.operation("lease"))
+	d.metrics.PlatformCall("lease", err)
+	if err != nil {
+		d.lease.good = time.Time{}
+		return false
+	}
+	if d.lease.good.IsZero() {
+		d.log.Info("controller: lease taken", "vm", d.cfg.VM)
+	}
+	d.lease.version = version
+	d.lease.renewal++
+	d.lease.good = asked.Add(controller.LeaseTerm)
+	return true
+}
+
+// step decides on the newest state of the platform and writes on the condition
+// that it still is the newest.
+func (d *Daemon) step(ctx context.Context) {
+	traffic, version, err := operator.ReadTraffic(ctx, d.platform)
+	d.metrics.PlatformCall("traffic", err)
+	if err != nil {
+		return
+	}
+	halls, err := operator.ReadHalls(ctx, d.platform)
+	d.metrics.PlatformCall("statuses", err)
+	if err != nil {
+		return
+	}
+	v := d.view.Load()
+	next, actions := controller.Next(controller.Facts{
+		Fleet: v.Fleet(), Traffic: traffic, Version: version, Halls: halls, Now: d.now(),
+	})
+	if len(actions) == 0 {
+		return
+	}
+	if !d.now().Before(d.lease.good) {
+		return // The reads took so long that the lease may be another's.
+	}
+	written, err := operator.WriteTraffic(ctx, d.platform, next, version, d.operation("step"))
+	d.metrics.PlatformCall("step", err)
+	if err != nil {
+		d.log.Info("controller: step not written", "error", err.Error())
+		return
+	}
+	d.store.Apply(spread.Changes{Since: written.Version, Objects: []spec.Object{written}})
+	for _, a := range actions {
+		d.record(next, a, written.Version)
+	}
+}
+
+func (d *Daemon) record(t spec.Traffic, a controller.Action, version uint64) {
+	d.metrics.Stepped(string(a.Rule))
+	d.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason)
+	m := intent.Find(&t, a.Move)
+	d.decisions.Add(decision.Record{
+		ID: operator.MoveRecord(a.Move), Time: d.now(), VM: d.cfg.VM, Subject: "move " + a.Move, Rule: string(a.Rule),
+		Result: a.Reason + "; now " + string(m.State) + " at " + m.Share.String(), Generation: version, Inputs: a.Inputs,
+	})
+}
+
+// sweepPlans deletes plans that nobody confirmed in time.
+func (d *Daemon) sweepPlans(ctx context.Context) {
+	now := d.now()
+	if now.Sub(d.lease.swept) < sweepInterval {
+		return
+	}
+	d.lease.swept = now
+	plans, err := d.platform.List(ctx, operator.KindPlan)
+	if err != nil {
+		return
+	}
+	for _, o := range plans {
+		var p intent.Plan
+		if json.Unmarshal(o.Spec, &p) != nil || now.Sub(p.Made) > planLife {
+			_ = d.platform.Delete(ctx, o.Key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package metrics names and holds every metric of a daemon.
+//
+// # Usage
+//
+//	m := metrics.New()
+//	m.Refused("full")
+//	http.Handle("/metrics", m.Handler())
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Set is the metrics of one daemon. It is safe for concurrent use.
+type Set struct {
+	registry  *prometheus.Registry
+	refused   *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	routed    *prometheus.CounterVec
+	tries     *prometheus.CounterVec
+	hello     *prometheus.CounterVec
+	steps     *prometheus.CounterVec
+	platform  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	inFlight  *prometheus.GaugeVec
+	headroom  *prometheus.GaugeVec
+	lent      *prometheus.GaugeVec
+	reportAge *prometheus.GaugeVec
+	revision  prometheus.Gauge
+	members   *prometheus.GaugeVec
+}
+
+// New returns a set with a registry of its own.
+func New() *Set {
+	r := prometheus.NewRegistry()
+	s := &Set{
+		registry: r,
+		refused:  counter(r, "refused_total", "Requests that ryehill refused, by reason.", "reason"),
+		retries:  counter(r, "retries_total", "Questions for another try, by cause and verdict.", "cause", "verdict"),
+		routed:   counter(r, "routed_total", "Requests by service and the rule that decided where they ran.", "service", "rule"),
+		tries:    counter(r, "upstream_tries_total", "Tries at upstreams by result.", "result"),
+		hello:    counter(r, "peer_calls_total", "Calls to peers by message and result.", "message", "result"),
+		steps:    counter(r, "controller_actions_total", "Changes of moves by the controller, by rule.", "rule"),
+		platform: counter(r, "platform_calls_total", "Calls to the platform by call and result.", "call", "result"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "ryehill", Name: "request_seconds",
+			Help:    "Time from a request's arrival to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"service"}),
+		inFlight:  gauge(r, "in_flight", "Requests in flight at owned upstreams.", "service"),
+		headroom:  gauge(r, "headroom_slots", "Free slots at owned upstreams.", "service"),
+		lent:      gauge(r, "lent_slots", "Slots lent to other VMs and not in use.", "service"),
+		reportAge: gauge(r, "report_age_seconds", "Age of the oldest load report of an owned upstream.", "service"),
+		members:   gauge(r, "members", "Known VMs by state.", "state"),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
+		}),
+	}
+	r.MustRegister(s.duration, s.revision, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return s
+}
+
+func counter(r *prometheus.Registry, name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ryehill", Name: name, Help: help}, labels)
+	r.MustRegister(c)
+	return c
+}
+
+func gauge(r *prometheus.Registry, name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "ryehill", Name: name, Help: help}, labels)
+	r.MustRegister(g)
+	return g
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Refused counts a refusal.
+func (s *Set) Refused(reason string) { s.refused.WithLabelValues(reason).Inc() }
+
+// Retry counts a question for another try.
+func (s *Set) Retry(cause, verdict string) { s.retries.WithLabelValues(cause, verdict).Inc() }
+
+// Routed counts a request by the rule that decided.
+func (s *Set) Routed(service, rule string) { s.routed.WithLabelValues(service, rule).Inc() }
+
+// Tried counts a try at an upstream.
+func (s *Set) Tried(result string) { s.tries.WithLabelValues(result).Inc() }
+
+// PeerCall counts a call to a peer.
+func (s *Set) PeerCall(message string, err error) {
+	s.hello.WithLabelValues(message, result(err)).Inc()
+}
+
+// PlatformCall counts a call to the platform.
+func (s *Set) PlatformCall(call string, err error) {
+	s.platform.WithLabelValues(call, result(err)).Inc()
+}
+
+// Stepped counts a change of a move.
+func (s *Set) Stepped(rule string) { s.steps.WithLabelValues(rule).Inc() }
+
+// Took notes how long a request took.
+func (s *Set) Took(service string, d time.Duration) {
+	s.duration.WithLabelValues(service).Observe(d.Seconds())
+}
+
+// Pool sets the gauges of a service's owned upstreams.
+func (s *Set) Pool(service string, inFlight, free, lent int, age time.Duration) {
+	s.inFlight.WithLabelValues(service).Set(float64(inFlight))
+	s.headroom.WithLabelValues(service).Set(float64(free))
+	s.lent.WithLabelValues(service).Set(float64(lent))
+	s.reportAge.WithLabelValues(service).Set(age.Seconds())
+}
+
+// Generation sets the generation in force.
+func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
+
+// Members sets how many VMs are in a state.
+func (s *Set) Members(state string, n int) { s.members.WithLabelValues(state).Set(float64(n)) }
+
+func result(err error) string {
+	if err != nil {
+		return "error"
+	}
+	return "ok"
+}
--- /dev/null
+++ b/state/spec/kinds.go
@@ -0,0 +1,224 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package spec
+
+import (
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/ryehill/ryehill/state/share"
+)
+
+// Bounds of the lists in one object.
+const (
+	MaxHalls    = 256
+	MaxLinks    = 4096
+	MaxWorkers  = 4096
+	MaxMoves    = 256
+	MaxCaps     = 256
+	MaxTargets  = 32
+	maxSlots    = 10_000
+	maxLinkRate = 1 << 40
+)
+
+// Duration is a time span written as text such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*d = Duration(parsed)
+	return err
+}
+
+// Or returns the duration, or the fallback if it is zero.
+func (d Duration) Or(fallback time.Duration) time.Duration {
+	if d == 0 {
+		return fallback
+	}
+	return time.Duration(d)
+}
+
+// Fleet describes the halls and the links between them.
+type Fleet struct {
+	Halls []Hall `json:"halls"`
+	Links []Link `json:"links,omitempty"`
+	// LookupTTL is how long a caller may cache a look-up. Default 5 s.
+	LookupTTL Duration `json:"lookup_ttl,omitempty"`
+	// StepInterval is the least time between two steps of a move. Default
+	// twice the look-up's time to live.
+	StepInterval Duration `json:"step_interval,omitempty"`
+	// LeastHeadroom is the part of a hall's slots that no move may use.
+	// Default 10%.
+	LeastHeadroom *share.PPM `json:"least_headroom,omitempty"`
+}
+
+// Hall is one hall of a region.
+type Hall struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// Link limits what one hall may send to another, in both bodies together.
+type Link struct {
+	From           string `json:"from"`
+	To             string `json:"to"`
+	BytesPerSecond int64  `json:"bytes_per_second"`
+}
+
+// Defaults of Fleet.
+const (
+	DefaultLookupTTL     = 5 * time.Second
+	DefaultLeastHeadroom = 10 * share.Percent
+)
+
+// TTL returns the look-up's time to live.
+func (f *Fleet) TTL() time.Duration { return f.LookupTTL.Or(DefaultLookupTTL) }
+
+// Interval returns the least time between two steps of a move.
+func (f *Fleet) Interval() time.Duration { return f.StepInterval.Or(2 * f.TTL()) }
+
+// Headroom returns the part of a hall's slots that no move may use.
+func (f *Fleet) Headroom() share.PPM {
+	if f.LeastHeadroom == nil {
+		return DefaultLeastHeadroom
+	}
+	return *f.LeastHeadroom
+}
+
+// Region returns the region of a hall, or "" if the hall is unknown.
+func (f *Fleet) Region(hall string) string {
+	for _, h := range f.Halls {
+		if h.Name == hall {
+			return h.Region
+		}
+	}
+	return ""
+}
+
+func (f *Fleet) check(out *faults) {
+	out.within("halls", int64(len(f.Halls)), 1, MaxHalls)
+	out.within("links", int64(len(f.Links)), 0, MaxLinks)
+	known := make(map[string]bool, len(f.Halls))
+	for i, h := range f.Halls {
+		field := "halls[" + strconv.Itoa(i) + "]"
+		out.name(field+".name", h.Name)
+		out.name(field+".region", h.Region)
+		if known[h.Name] {
+			out.add(field, "hall %q is listed twice", h.Name)
+		}
+		known[h.Name] = true
+	}
+	for i, l := range f.Links {
+		field := "links[" + strconv.Itoa(i) + "]"
+		if !known[l.From] || !known[l.To] || l.From == l.To {
+			out.add(field, "from %q to %q: want two different halls of the fleet", l.From, l.To)
+		}
+		out.within(field+".bytes_per_second", l.BytesPerSecond, 1, maxLinkRate)
+	}
+	out.within("lookup_ttl", int64(f.TTL()), int64(50*time.Millisecond), int64(time.Hour))
+	out.within("step_interval", int64(f.Interval()), int64(50*time.Millisecond), int64(time.Hour))
+	out.within("least_headroom", int64(f.Headroom()), 0, int64(share.Whole))
+}
+
+// Blocks binds client blocks to halls: a list of prefixes for each hall.
+type Blocks struct {
+	Halls map[string][]netip.Prefix `json:"halls"`
+}
+
+func (b *Blocks) check(out *faults) {
+	for hall, prefixes := range b.Halls {
+		out.name("halls", hall)
+		for _, p := range prefixes {
+			if !p.IsValid() {
+				out.add("halls."+hall, "invalid prefix")
+			}
+		}
+	}
+}
+
+// Service describes one service and its upstreams.
+type Service struct {
+	// Name is taken from the object's name.
+	Name    string   `json:"-"`
+	Workers []Worker `json:"workers"`
+	// Once lists the HTTP methods that may not be repeated.
+	// Default POST and PATCH.
+	Once []string `json:"once,omitempty"`
+	// Timeout bounds a request from its arrival to the head of its answer,
+	// not counting the time its body takes. Default 10 s.
+	Timeout Duration `json:"timeout,omitempty"`
+	// ColdAnswers is how many answers warm the cache of a worker that
+	// started anew; until then it gets fewer slots. Default 20.
+	ColdAnswers int `json:"cold_answers,omitempty"`
+	// Essential services are refused last when a hall is full.
+	Essential bool `json:"essential,omitempty"`
+}
+
+// Worker is one upstream process of a service.
+type Worker struct {
+	ID      string `json:"id"`
+	Hall    string `json:"hall"`
+	Address string `json:"address"`
+	// Slots is how many requests it runs at once.
+	Slots int `json:"slots"`
+	// Connections bounds the connections opened to it. Default 130.
+	Connections int `json:"connections,omitempty"`
+}
+
+// Defaults of Service and Worker.
+const (
+	DefaultTimeout     = 10 * time.Second
+	DefaultColdAnswers = 20
+	DefaultConnections = 130
+)
+
+// IsOnce reports whether a request of this method may run at most once.
+func (s *Service) IsOnce(method string) bool {
+	if len(s.Once) == 0 {
+		return method == "POST" || method == "PATCH"
+	}
+	for _, m := range s.Once {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
+
+// Slots returns the sum of the slots that the service has in a hall.
+func (s *Service) Slots(hall string) int {
+	total := 0
+	for _, w := range s.Workers {
+		if w.Hall == hall {
+			total += w.Slots
+		}
+	}
+	return total
+}
+
+func (s *Service) check(out *faults) {
+	out.within("workers", int64(len(s.Workers)), 0, MaxWorkers)
+	known := make(map[string]bool, len(s.Workers))
+	for i, w := range s.Workers {
+		field := "workers[" + strconv.Itoa(i) + "]"
+		out.name(field+".id", w.ID)
+		out.name(field+".hall", w.Hall)
+		if known[w.ID] {
+			out.add(field, "worker %q is listed twice", w.ID)
+		}
+		known[w.ID] = true
+		if _, err := netip.ParseAddrPort(w.Address); err != nil {
+			out.add(field+".address", "%q: want IP:port", w.Address)
+		}
+		out.within(field+".slots", int64(w.Slots), 1, maxSlots)
+		out.within(field+".connections", int64(w.Connections), 0, maxSlots)
+	}
+	out.within("timeout", int64(s.Timeout), 0, int64(time.Hour))
+	out.within("cold_answers", int64(s.ColdAnswers), 0, maxSlots)
+}
--- /dev/null
+++ b/state/steering/table.go
@@ -0,0 +1,245 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package steering maps the address of a client to its home hall.
+//
+// A Table is built once from all blocks and never changes, so that any number
+// of goroutines may read it without a lock. Blocks may nest; the longest prefix
+// wins. Building flattens them into disjoint ranges, and a look-up is a binary
+// search over these without allocation.
+//
+// # Usage
+//
+//	table, err := steering.New([]steering.Block{{Prefix: prefix, Hall: "colombo-1"}})
+//	hall, ok := table.Home(client)
+package steering
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// MaxBlocks bounds the blocks of one table.
+	MaxBlocks = 1 << 20
+	// MaxHalls bounds the distinct home halls of one table.
+	MaxHalls = 1 << 12
+	// MaxBitsV6 is the longest IPv6 prefix: longer ones name single hosts,
+	// and 64 bits keep a range's key in one word.
+	MaxBitsV6 = 64
+)
+
+// ErrBlock reports a block that a table cannot hold.
+var ErrBlock = errors.New("steering: bad block")
+
+// Block binds a prefix of client addresses to a home hall.
+type Block struct {
+	Prefix netip.Prefix
+	Hall   string
+}
+
+// Table maps client addresses to home halls. The zero value is an empty table.
+// It is safe for concurrent use.
+type Table struct {
+	v4    ranges
+	v6    ranges
+	halls []string
+	count int
+}
+
+// ranges are disjoint and sorted: the range at index i starts at starts[i],
+// ends before starts[i+1] and belongs to halls[homes[i]]; home 0 is no hall.
+type ranges struct {
+	starts []uint64
+	homes  []uint16
+}
+
+type span struct {
+	first, last uint64
+	home        uint16
+}
+
+// New builds a table. Of two equal prefixes the later one wins, so that a
+// caller can lay corrections over a base.
+// It returns ErrBlock, naming the block, for an invalid prefix, an IPv6 prefix
+// longer than MaxBitsV6, an empty hall, or more than MaxBlocks blocks.
+func New(blocks []Block) (*Table, error) {
+	if len(blocks) > MaxBlocks {
+		return nil, errors.Wrapf(ErrBlock, "%d blocks, at most %d", len(blocks), MaxBlocks)
+	}
+	t := &Table{halls: []string{""}, count: len(blocks)}
+	index := make(map[string]uint16)
+	var v4, v6 []span
+	for _, b := range blocks {
+		home, err := t.intern(index, b.Hall)
+		if err != nil {
+			return nil, err
+		}
+		s, is4, err := spanOf(b.Prefix)
+		if err != nil {
+			return nil, err
+		}
+		s.home = home
+		if is4 {
+			v4 = append(v4, s)
+		} else {
+			v6 = append(v6, s)
+		}
+	}
+	t.v4 = flatten(v4)
+	t.v6 = flatten(v6)
+	return t, nil
+}
+
+func (t *Table) intern(index map[string]uint16, hall string) (uint16, error) {
+	if hall == "" {
+		return 0, errors.Wrap(ErrBlock, "empty hall")
+	}
+	if home, ok := index[hall]; ok {
+		return home, nil
+	}
+	if len(t.halls) > MaxHalls {
+		return 0, errors.Wrapf(ErrBlock, "more than %d halls", MaxHalls)
+	}
+	home := uint16(len(t.halls))
+	t.halls = append(t.halls, hall)
+	index[hall] = home
+	return home, nil
+}
+
+// Home returns the home hall of a client's address, or false if no block
+// holds it. It does not allocate.
+func (t *Table) Home(client netip.Addr) (string, bool) {
+	client = client.Unmap()
+	r := &t.v6
+	if client.Is4() {
+		r = &t.v4
+	}
+	home := r.find(key(client))
+	if home == 0 {
+		return "", false
+	}
+	return t.halls[home], true
+}
+
+// Halls returns the halls that have blocks.
+func (t *Table) Halls() []string {
+	if len(t.halls) == 0 {
+		return nil
+	}
+	return slices.Clone(t.halls[1:])
+}
+
+// Blocks returns how many blocks the table was built from.
+func (t *Table) Blocks() int { return t.count }
+
+// Ranges returns how many disjoint ranges the blocks were flattened to.
+func (t *Table) Ranges() int { return len(t.v4.starts) + len(t.v6.starts) }
+
+func (r *ranges) find(k uint64) uint16 {
+	low, high := 0, len(r.starts)
+	for low < high {
+		middle := int(uint(low+high) >> 1)
+		if r.starts[middle] <= k {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == 0 {
+		return 0
+	}
+	return r.homes[low-1]
+}
+
+func (r *ranges) add(start uint64, home uint16) {
+	last := len(r.starts) - 1
+	if last >= 0 && r.starts[last] == start {
+		r.homes[last] = home
+		return
+	}
+	if last >= 0 && r.homes[last] == home {
+		return
+	}
+	r.starts = append(r.starts, start)
+	r.homes = append(r.homes, home)
+}
+
+// key maps an address to one word. IPv4 addresses take the low 32 bits, IPv6
+// addresses their high 64 bits, since blocks are never longer than that.
+func key(a netip.Addr) uint64 {
+	if a.Is4() {
+		b := a.As4()
+		return uint64(binary.BigEndian.Uint32(b[:]))
+	}
+	b := a.As16()
+	return binary.BigEndian.Uint64(b[:8])
+}
+
+func spanOf(p netip.Prefix) (span, bool, error) {
+	if !p.IsValid() || p.Addr().Is4In6() {
+		return span{}, false, errors.Wrapf(ErrBlock, "prefix %s", p)
+	}
+	is4 := p.Addr().Is4()
+	width := MaxBitsV6
+	if is4 {
+		width = 32
+	}
+	if p.Bits() > width {
+		return span{}, false, errors.Wrapf(ErrBlock, "prefix %s is longer than /%d", p, width)
+	}
+	first := key(p.Masked().Addr())
+	size := uint64(1)<<(width-p.Bits()) - 1
+	return span{first: first, last: first + size}, is4, nil
+}
+
+// flatten turns nested spans into disjoint ranges. Spans of prefixes either
+// nest or are disjoint, so a stack of the open ones is enough.
+func flatten(spans []span) ranges {
+	slices.SortStableFunc(spans, func(a, b span) int {
+		return cmp.Or(cmp.Compare(a.first, b.first), cmp.Compare(b.last, a.last))
+	})
+	r := ranges{
+		starts: make([]uint64, 0, len(spans)),
+		homes:  make([]uint16, 0, len(spans)),
+	}
+	var open []span
+	for _, s := range spans {
+		open = closeBefore(&r, open, s.first)
+		if n := len(open); n > 0 && open[n-1].first == s.first && open[n-1].last == s.last {
+			open[n-1] = s
+		} else {
+			open = append(open, s)
+		}
+		r.add(s.first, s.home)
+	}
+	for len(open) > 0 {
+		open = closeLast(&r, open)
+	}
+	return r
+}
+
+func closeBefore(r *ranges, open []span, first uint64) []span {
+	for len(open) > 0 && open[len(open)-1].last < first {
+		open = closeLast(r, open)
+	}
+	return open
+}
+
+func closeLast(r *ranges, open []span) []span {
+	closed := open[len(open)-1]
+	open = open[:len(open)-1]
+	if closed.last == ^uint64(0) {
+		return open
+	}
+	var home uint16
+	if len(open) > 0 {
+		home = open[len(open)-1].home
+	}
+	r.add(closed.last+1, home)
+	return open
+}
--- /dev/null
+++ b/state/view/view.go
@@ -0,0 +1,244 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package view compiles configuration objects into one immutable picture that
+// every look-up and request of a moment reads.
+//
+// # Usage
+//
+//	v, err := view.Compile(generation, objects)
+//	hall, ok := v.Home(client)
+//	moves := v.Moves("lookup", hall)
+package view
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/steering"
+)
+
+// View is the configuration of one generation. It is never changed after
+// Compile and is safe for concurrent use.
+type View struct {
+	generation uint64
+	fleet      *spec.Fleet
+	services   map[string]*spec.Service
+	traffic    *spec.Traffic
+	table      *steering.Table
+	moves      map[place][]*spec.Move
+	leaving    map[string]bool
+	sources    []uint64
+}
+
+type place struct{ service, hall string }
+
+// Empty returns a view with no halls, blocks or services.
+func Empty() *View {
+	return &View{fleet: &spec.Fleet{}, traffic: &spec.Traffic{}, table: &steering.Table{}}
+}
+
+// Compile builds a view from all objects that a process holds. Objects that
+// fail their checks are left out, as the process must go on serving, and are
+// reported in the error; the view is always usable. The steering table of the
+// previous view, which may be nil, is used again if no block changed.
+func Compile(generation uint64, objects []spec.Object, previous *View) (*View, error) {
+	v := Empty()
+	v.generation = generation
+	v.services = make(map[string]*spec.Service)
+	var faulty []string
+	var blocks []spec.Object
+	for _, o := range objects {
+		if o.Deleted {
+			continue
+		}
+		if o.Kind == spec.KindBlocks {
+			blocks = append(blocks, o)
+			continue
+		}
+		value, err := o.Value()
+		if err != nil {
+			faulty = append(faulty, err.Error())
+			continue
+		}
+		v.place(value)
+	}
+	faulty = append(faulty, v.compileBlocks(blocks, previous)...)
+	v.index()
+	if len(faulty) > 0 {
+		return v, errors.Newf("view: compile generation %d: %s", generation, strings.Join(faulty, "; "))
+	}
+	return v, nil
+}
+
+func (v *View) place(value spec.Value) {
+	switch value := value.(type) {
+	case *spec.Fleet:
+		v.fleet = value
+	case *spec.Service:
+		v.services[value.Name] = value
+	case *spec.Traffic:
+		v.traffic = value
+	case *spec.Blocks:
+		// Blocks are compiled together, see compileBlocks.
+	}
+}
+
+// compileBlocks lays the objects over each other by name, so that the order in
+// which they arrived does not matter.
+func (v *View) compileBlocks(objects []spec.Object, previous *View) []string {
+	slices.SortFunc(objects, func(a, b spec.Object) int { return strings.Compare(a.Name, b.Name) })
+	for _, o := range objects {
+		v.sources = append(v.sources, o.Version)
+	}
+	if previous != nil && slices.Equal(v.sources, previous.sources) {
+		v.table = previous.table
+		return nil
+	}
+	var faulty []string
+	var blocks []steering.Block
+	for _, o := range objects {
+		value, err := o.Value()
+		if err != nil {
+			faulty = append(faulty, err.Error())
+			continue
+		}
+		for hall, prefixes := range value.(*spec.Blocks).Halls {
+			for _, p := range prefixes {
+				blocks = append(blocks, steering.Block{Prefix: p, Hall: hall})
+			}
+		}
+	}
+	table, err := steering.New(blocks)
+	if err != nil {
+		faulty = append(faulty, err.Error())
+		if previous != nil {
+			v.table, v.sources = previous.table, previous.sources
+		}
+		return faulty
+	}
+	v.table = table
+	return faulty
+}
+
+func (v *View) index() {
+	v.moves = make(map[place][]*spec.Move)
+	for i := range v.traffic.Moves {
+		m := &v.traffic.Moves[i]
+		if m.State == spec.MoveStopped || m.Effective() == 0 {
+			continue
+		}
+		key := place{m.Service, m.From}
+		v.moves[key] = append(v.moves[key], m)
+	}
+	v.leaving = make(map[string]bool, len(v.traffic.Leaving))
+	for _, worker := range v.traffic.Leaving {
+		v.leaving[worker] = true
+	}
+}
+
+// Generation returns the platform's revision that the view reflects.
+func (v *View) Generation() uint64 { return v.generation }
+
+// Fleet returns the halls and links. The caller must not change it.
+func (v *View) Fleet() *spec.Fleet { return v.fleet }
+
+// Traffic returns moves and caps. The caller must not change it.
+func (v *View) Traffic() *spec.Traffic { return v.traffic }
+
+// Service returns a service by name. The caller must not change it.
+func (v *View) Service(name string) (*spec.Service, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// Services returns the names of all services in order.
+func (v *View) Services() []string {
+	names := make([]string, 0, len(v.services))
+	for name := range v.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Table returns the steering table.
+func (v *View) Table() *steering.Table { return v.table }
+
+// Home returns the home hall of a client.
+func (v *View) Home(client netip.Addr) (string, bool) { return v.table.Home(client) }
+
+// Moves returns the moves of a service out of a hall that have a share in
+// force, in the order of the traffic object.
+func (v *View) Moves(service, from string) []*spec.Move { return v.moves[place{service, from}] }
+
+// Leaving reports whether an operator drains the worker.
+func (v *View) Leaving(worker string) bool { return v.leaving[worker] }
+
+// Nearest returns the other halls that have upstreams of a service: those of
+// the same region first, each group in the order of the fleet object.
+func (v *View) Nearest(hall, service string) []string {
+	s, ok := v.services[service]
+	if !ok {
+		return nil
+	}
+	region := v.fleet.Region(hall)
+	var near, far []string
+	for _, h := range v.fleet.Halls {
+		switch {
+		case h.Name == hall || s.Slots(h.Name) == 0:
+		case h.Region == region:
+			near = append(near, h.Name)
+		default:
+			far = append(far, h.Name)
+		}
+	}
+	return append(near, far...)
+}
+
+// AtGeneration returns the same configuration with a later generation, for a
+// revision of the platform that changed no configuration.
+func (v *View) AtGeneration(generation uint64) *View {
+	next := *v
+	next.generation = generation
+	return &next
+}
+
+// WithTraffic returns the same configuration with another traffic object, for
+// decisions that rest on one just read from the platform.
+func (v *View) WithTraffic(t *spec.Traffic) *View {
+	next := *v
+	next.traffic = t
+	next.index()
+	return &next
+}
+
+// Check returns an error that names every hall that blocks or services refer to
+// and that the fleet does not have.
+func (v *View) Check() error {
+	known := make(map[string]bool)
+	for _, h := range v.fleet.Halls {
+		known[h.Name] = true
+	}
+	var faulty []string
+	for _, name := range v.Services() {
+		for _, w := range v.services[name].Workers {
+			if !known[w.Hall] {
+				faulty = append(faulty, "service "+name+": worker "+w.ID+" is in unknown hall "+w.Hall)
+			}
+		}
+	}
+	for _, hall := range v.table.Halls() {
+		if !known[hall] {
+			faulty = append(faulty, "blocks: unknown hall "+hall)
+		}
+	}
+	if len(faulty) > 0 {
+		return errors.Newf("view: %s", strings.Join(faulty, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/operator/status.go
@@ -0,0 +1,208 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/intent"
+	"github.com/ryehill/ryehill/coordination/spread"
+	"github.com/ryehill/ryehill/protocol/outcome"
+	"github.com/ryehill/ryehill/state/decision"
+	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/view"
+	"github.com/ryehill/ryehill/transport/platform"
+)
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	VM         string            `json:"vm"`
+	Hall       string            `json:"hall"`
+	Generation uint64            `json:"generation"`
+	Platform   string            `json:"platform"`
+	Members    []MemberStatus    `json:"members"`
+	Halls      []load.HallStatus `json:"halls"`
+	Own        load.VMStatus     `json:"own"`
+	Moves      []spec.Move       `json:"moves"`
+	Caps       []spec.Cap        `json:"caps"`
+	Leaving    []string          `json:"leaving"`
+}
+
+// MemberStatus is one known VM.
+type MemberStatus struct {
+	VM    string `json:"vm"`
+	Hall  string `json:"hall"`
+	State string `json:"state"`
+}
+
+func (a *api) status(w http.ResponseWriter, r *http.Request) {
+	v := a.cfg.View()
+	self := a.cfg.Members.Self()
+	s := Status{
+		VM: a.cfg.VM, Hall: self.Hall, Generation: v.Generation(), Platform: "up", Own: a.cfg.Own(),
+		Members: []MemberStatus{{VM: self.ID, Hall: self.Hall, State: self.State.String()}},
+		Halls:   []load.HallStatus{},
+		Moves:   v.Traffic().Moves, Caps: v.Traffic().Caps, Leaving: v.Traffic().Leaving,
+	}
+	for _, m := range a.cfg.Members.All() {
+		s.Members = append(s.Members, MemberStatus{VM: m.ID, Hall: m.Hall, State: m.State.String()})
+	}
+	halls, err := ReadHalls(r.Context(), a.cfg.Platform)
+	if err != nil {
+		s.Platform = "away: " + err.Error()
+	}
+	for _, h := range halls {
+		s.Halls = append(s.Halls, h)
+	}
+	slices.SortFunc(s.Halls, func(x, y load.HallStatus) int { return strings.Compare(x.Hall, y.Hall) })
+	outcome.WriteJSON(w, http.StatusOK, s)
+}
+
+// Explanation is the answer to GET /v1/decisions/ID: the record of one request,
+// or a move with its history.
+type Explanation struct {
+	Decision *decision.Record `json:"decision,omitempty"`
+	Move     *spec.Move       `json:"move,omitempty"`
+}
+
+func (a *api) explain(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if m := intent.Find(a.cfg.View().Traffic(), id); m != nil {
+		e := Explanation{Move: m}
+		if record, ok := a.cfg.Decisions.Find(MoveRecord(id)); ok {
+			e.Decision = &record
+		}
+		outcome.WriteJSON(w, http.StatusOK, e)
+		return
+	}
+	vm, _, ok := strings.Cut(id, ".")
+	if !ok {
+		fail(w, outcome.CodeNotFound, "find decision", errors.Newf("%q names no move in force and no decision", id))
+		return
+	}
+	if vm == a.cfg.VM {
+		record, ok := a.cfg.Decisions.Find(id)
+		if !ok {
+			fail(w, outcome.CodeNotFound, "find decision", errors.Newf("VM %s no longer holds decision %q", vm, id))
+			return
+		}
+		outcome.WriteJSON(w, http.StatusOK, Explanation{Decision: &record})
+		return
+	}
+	record, err := a.cfg.Find(r.Context(), vm, id)
+	if err != nil {
+		outcome.Write(w, outcome.New(outcome.CodeNotFound, outcome.NotRun, "ask VM", vm, err))
+		return
+	}
+	outcome.WriteJSON(w, http.StatusOK, Explanation{Decision: &record})
+}
+
+// MoveRecord returns the decision id of a move's last step, as kept by the
+// controller that took it.
+func MoveRecord(moveID string) string { return "move/" + moveID }
+
+func (a *api) config(w http.ResponseWriter, _ *http.Request) {
+	_, objects := a.cfg.Store.Snapshot()
+	slices.SortFunc(objects, func(x, y spec.Object) int { return strings.Compare(x.Key.String(), y.Key.String()) })
+	outcome.WriteJSON(w, http.StatusOK, spec.Set{Objects: objects})
+}
+
+// Applied is the answer to PUT /v1/config.
+type Applied struct {
+	Objects []AppliedObject `json:"objects"`
+}
+
+// AppliedObject is one object and its version in force.
+type AppliedObject struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Changed bool   `json:"changed"`
+}
+
+// apply checks a set of objects as a whole against what is in force, then
+// writes those that differ, each on its own condition. If one fails, those
+// before it are in force, and the error says which.
+func (a *api) apply(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var set spec.Set
+	if err == nil {
+		set, err = spec.DecodeSet(body)
+	}
+	if err == nil {
+		err = a.check(set)
+	}
+	if err != nil {
+		fail(w, outcome.CodeBadRequest, "check objects", err)
+		return
+	}
+	var applied Applied
+	for _, o := range set.Objects {
+		done, err := a.applyOne(r, o)
+		if err != nil {
+			err = errors.Wrapf(err, "%d of %d objects are in force, then %s", len(applied.Objects), len(set.Objects), o.Key)
+			failPlatform(w, "write object", err)
+			return
+		}
+		applied.Objects = append(applied.Objects, done)
+	}
+	outcome.WriteJSON(w, http.StatusOK, applied)
+}
+
+func (a *api) check(set spec.Set) error {
+	generation, objects := a.cfg.Store.Snapshot()
+	replaced := make(map[spec.Key]bool)
+	for _, o := range set.Objects {
+		if o.Kind == spec.KindTraffic {
+			return errors.Newf("%s: traffic is changed by intents only", o.Key)
+		}
+		replaced[o.Key] = true
+	}
+	objects = slices.DeleteFunc(objects, func(o spec.Object) bool { return replaced[o.Key] })
+	v, err := view.Compile(generation, append(objects, set.Objects...), nil)
+	if err != nil {
+		return err
+	}
+	return v.Check()
+}
+
+func (a *api) applyOne(r *http.Request, o spec.Object) (AppliedObject, error) {
+	found, err := a.cfg.Platform.Get(r.Context(), o.Key)
+	cond := platform.IfVersion(found.Version)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		cond = platform.IfAbsent()
+	case err != nil:
+		return AppliedObject{}, err
+	case sameJSON(found.Spec, o.Spec):
+		return AppliedObject{Key: o.Key.String(), Version: found.Version}, nil
+	}
+	o.Version = 0
+	o.Operation = newOperation(a.cfg.VM)
+	version, err := a.cfg.Platform.Put(r.Context(), o, cond, o.Operation)
+	if err != nil {
+		return AppliedObject{}, err
+	}
+	o.Version = version
+	a.cfg.Store.Apply(spread.Changes{Since: version, Objects: []spec.Object{o}})
+	a.cfg.Log.Info("operator: object written", "key", o.Key.String(), "version", version, "at", time.Now().UTC())
+	return AppliedObject{Key: o.Key.String(), Version: version, Changed: true}, nil
+}
+
+func sameJSON(x, y json.RawMessage) bool {
+	var a, b any
+	if json.Unmarshal(x, &a) != nil || json.Unmarshal(y, &b) != nil {
+		return false
+	}
+	left, _ := json.Marshal(a)
+	right, _ := json.Marshal(b)
+	return string(left) == string(right)
+}
--- /dev/null
+++ b/transport/relay/local.go
@@ -0,0 +1,159 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/capacity"
+	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/protocol/outcome"
+	"github.com/ryehill/ryehill/protocol/wire"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// try makes one try along a route.
+func (e *Engine) try(ctx context.Context, r *Request, to route, sink Sink) result {
+	switch to := to.(type) {
+	case hallRoute:
+		return e.tryHall(ctx, r, to, sink)
+	case waitRoute:
+		return e.tryWaiting(ctx, r, sink)
+	default:
+		return e.tryLocal(ctx, r, sink)
+	}
+}
+
+// tryLocal uses a free slot of this VM, else one of a neighbor that is known to
+// have some, else it waits.
+func (e *Engine) tryLocal(ctx context.Context, r *Request, sink Sink) result {
+	slot, err := e.cfg.Pools.Get(r.Service).TryReserve()
+	if err == nil {
+		return e.runAt(ctx, slot, r.upstreamRequest(), sink)
+	}
+	if !e.cfg.NoSpill {
+		vm := e.cfg.Neighbors.Take(r.Service, time.Now(), nil)
+		if vm != "" {
+			defer e.cfg.Neighbors.Back(r.Service, vm)
+			return e.tryNeighbor(ctx, r, vm, false, sink)
+		}
+	}
+	return e.tryWaiting(ctx, r, sink)
+}
+
+// tryWaiting waits for a slot of this VM or, if it owns no upstream of the
+// service, lets the request wait at a VM of the hall that does.
+func (e *Engine) tryWaiting(ctx context.Context, r *Request, sink Sink) result {
+	wait, cancel := context.WithTimeout(ctx, min(e.cfg.QueueTime, r.remaining(time.Now())))
+	defer cancel()
+	slot, err := e.cfg.Pools.Get(r.Service).Reserve(wait)
+	switch {
+	case err == nil:
+		return e.runAt(ctx, slot, r.upstreamRequest(), sink)
+	case errors.Is(err, capacity.ErrNoWorkers) && !e.cfg.NoSpill:
+		if owners := e.cfg.Owners(r.Service); len(owners) > 0 {
+			return e.tryNeighbor(ctx, r, owners[int(e.number.Add(1))%len(owners)], true, sink)
+		}
+	}
+	return failed(retry.CauseFull, reserveFailure(err))
+}
+
+func reserveFailure(err error) *outcome.Failure {
+	code := outcome.CodeFull
+	if errors.Is(err, capacity.ErrNoWorkers) {
+		code = outcome.CodeNoUpstream
+	}
+	return notRun(code, "reserve a slot", err).WithRetryAfter(retryAfterFull)
+}
+
+func (r *Request) upstreamRequest() *upstream.Request {
+	left := r.remaining(time.Now())
+	header := r.Header.Clone()
+	header.Set(upstream.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	return &upstream.Request{
+		Method: r.Method, Target: r.Target, Host: r.Host, Header: header,
+		Body: r.Body.Reader(), Length: r.Body.length, HeadBy: max(left, time.Millisecond), Once: r.once,
+	}
+}
+
+// runAt sends a request to the worker of a slot and passes the answer on.
+func (e *Engine) runAt(ctx context.Context, slot *capacity.Slot, req *upstream.Request, sink Sink) result {
+	w := slot.Worker()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer, err := e.cfg.Upstreams.Do(ctx, upstream.Worker{ID: w.ID, Address: w.Address, Connections: w.Connections}, req)
+	if err != nil {
+		return e.upstreamFailed(slot, err)
+	}
+	defer answer.Close()
+	e.cfg.Metrics.Tried("answered")
+	res := result{status: answer.Status(), headSent: true}
+	if err := sink.Head(answer.Status(), CleanHeader(answer.Header()), answer.Length()); err != nil {
+		slot.Release(capacity.ResultBroken)
+		res.cause, res.failure = retry.CauseBroken, callerGone(err)
+		return res
+	}
+	res.bytes, err = copyBody(sink, answer.Body())
+	if err != nil {
+		slot.Release(capacity.ResultBroken)
+		res.cause = retry.CauseBroken
+		res.failure = outcome.New(outcome.CodeBroken, outcome.Unknown, "pass on the answer", w.ID, err)
+		return res
+	}
+	slot.Release(capacity.ResultAnswered)
+	return res
+}
+
+func callerGone(err error) *outcome.Failure {
+	return outcome.New(outcome.CodeBroken, outcome.Unknown, "answer the caller", "", err)
+}
+
+func copyBody(to io.Writer, from io.Reader) (int64, error) {
+	return io.CopyBuffer(onlyWriter{to}, from, make([]byte, wire.ChunkSize))
+}
+
+// onlyWriter hides ReadFrom, so that bodies always pass in bounded pieces.
+type onlyWriter struct{ io.Writer }
+
+// upstreamFailed turns an upstream's failure into a result and teaches the pool.
+func (e *Engine) upstreamFailed(slot *capacity.Slot, err error) result {
+	var u *upstream.Error
+	if !errors.As(err, &u) {
+		slot.Release(capacity.ResultBroken)
+		return failed(retry.CauseBroken, outcome.New(outcome.CodeBroken, outcome.Unknown, "upstream", slot.Worker().ID, err))
+	}
+	e.cfg.Metrics.Tried(u.Kind().String())
+	run := outcome.Unknown
+	if u.NotRun() {
+		run = outcome.NotRun
+	}
+	cause, code, learnt := classify(u.Kind())
+	slot.Release(learnt)
+	f := outcome.New(code, run, u.Step(), slot.Worker().ID, err)
+	if run == outcome.NotRun {
+		f = f.WithRetryAfter(retryAfterFull)
+	}
+	return failed(cause, f)
+}
+
+func classify(k upstream.Kind) (retry.Cause, outcome.Code, capacity.Result) {
+	switch k {
+	case upstream.KindUnreachable:
+		return retry.CauseUnreachable, outcome.CodeNoUpstream, capacity.ResultUnreachable
+	case upstream.KindBusy:
+		return retry.CauseShed, outcome.CodeFull, capacity.ResultUnused
+	case upstream.KindShed:
+		return retry.CauseShed, outcome.CodeFull, capacity.ResultShed
+	case upstream.KindLeaving:
+		return retry.CauseLeaving, outcome.CodeNoUpstream, capacity.ResultLeaving
+	case upstream.KindBody, upstream.KindBroken:
+		return retry.CauseBroken, outcome.CodeBroken, capacity.ResultBroken
+	}
+	return retry.CauseBroken, outcome.CodeBroken, capacity.ResultBroken
+}
--- /dev/null
+++ b/transport/relay/remote.go
@@ -0,0 +1,262 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/capacity"
+	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/protocol/outcome"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/protocol/wire"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+const (
+	// progressTime is how long a body may stand still between two VMs.
+	progressTime = 30 * time.Second
+	// answerSlack is what the receiver of a request gets beyond the deadline
+	// to say how it ended.
+	answerSlack = 250 * time.Millisecond
+)
+
+// tryHall runs a request in another hall under a grant.
+func (e *Engine) tryHall(ctx context.Context, r *Request, to hallRoute, sink Sink) result {
+	defer to.use.Done()
+	grant := to.use.Grant()
+	res := e.tryPeer(ctx, r, grant.Lender, &peerpb.Open{Grant: grant.ID}, to.hall, sink)
+	if !res.notRun() {
+		return res
+	}
+	// The receiver did not run it for certain, so the move did not happen.
+	if to.refund != nil {
+		to.refund()
+	}
+	e.cfg.Wallet.Drop(capacity.Source{Service: r.Service, Hall: to.hall}, grant.Lender)
+	return res
+}
+
+// tryNeighbor runs a request at an upstream of another VM of this hall.
+func (e *Engine) tryNeighbor(ctx context.Context, r *Request, vm string, wait bool, sink Sink) result {
+	res := e.tryPeer(ctx, r, vm, &peerpb.Open{Wait: wait}, "", sink)
+	if res.notRun() {
+		e.cfg.Neighbors.Full(r.Service, vm)
+	}
+	if wait && res.cause == retry.CauseRefused {
+		res.cause = retry.CauseFull // It waited there already.
+	}
+	return res
+}
+
+// remote is one request on its way to another VM.
+type remote struct {
+	engine *Engine
+	ctx    context.Context
+	req    *Request
+	stream *peer.Stream
+	vm     string
+	hall   string // for the link's budget; "" within a hall
+	sink   Sink
+	res    result
+}
+
+func (e *Engine) tryPeer(ctx context.Context, r *Request, vm string, open *peerpb.Open, hall string, sink Sink) result {
+	member, ok := e.cfg.Members.Member(vm)
+	if !ok {
+		return failed(retry.CauseUnreachable, outcome.New(outcome.CodePeer, outcome.NotRun, "find VM", vm, errors.New("unknown VM")))
+	}
+	r.fill(open, time.Now())
+	stream, err := e.cfg.Peers.Open(ctx, peer.Target{VM: vm, Address: member.Peer}, &peerpb.Envelope{Kind: &peerpb.Envelope_Open{Open: open}})
+	if err != nil {
+		run := outcome.Unknown
+		if errors.Is(err, peer.ErrUnreachable) {
+			run = outcome.NotRun
+		}
+		return failed(retry.CauseUnreachable, outcome.New(outcome.CodePeer, run, "open stream", vm, err))
+	}
+	defer stream.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := stream.CloseWith(ctx)
+	defer stop()
+	m := &remote{engine: e, ctx: ctx, req: r, stream: stream, vm: vm, hall: hall, sink: sink}
+	if open.GetEager() {
+		m.sendBody()
+	}
+	m.receive()
+	return m.res
+}
+
+// fill sets the fields of an Open that describe the request.
+func (r *Request) fill(o *peerpb.Open, now time.Time) {
+	o.Id = r.id
+	o.Service = r.Service
+	o.Method = r.Method
+	o.Target = r.Target
+	o.Host = r.Host
+	o.Headers = toHeaders(r.Header)
+	o.Length = r.Body.length
+	o.TimeoutMillis = uint32(max(r.remaining(now).Milliseconds(), 1))
+	o.Eager = r.Body.buffered
+	o.Client = r.Client.String()
+	o.Once = r.once
+}
+
+// sendBody sends the body and its end. Its errors show at the reading side.
+func (m *remote) sendBody() {
+	body := m.req.Body.Reader()
+	if body != nil {
+		if _, err := copyBody(&chunkWriter{stream: m.stream, pace: m.pace}, body); err != nil {
+			m.stream.Close()
+			return
+		}
+	}
+	_ = m.stream.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_End{End: &peerpb.End{}}})
+	// The answer is due once the body has gone, however long that took.
+	due := m.req.deadline
+	if !m.req.Body.buffered {
+		due = time.Now().Add(progressTime)
+	}
+	m.stream.SetReadDeadline(due.Add(answerSlack))
+}
+
+func (m *remote) pace(bytes int) error {
+	if m.hall == "" {
+		return nil
+	}
+	return m.engine.cfg.Links.Wait(m.ctx, m.hall, bytes)
+}
+
+func (m *remote) receive() {
+	for {
+		e, err := m.stream.Read()
+		if err != nil {
+			m.broken("read answer", err)
+			return
+		}
+		done, err := m.take(e)
+		if err != nil {
+			m.broken("pass on the answer", err)
+			return
+		}
+		if done {
+			return
+		}
+	}
+}
+
+// take handles one message of the receiver and reports whether it was the last.
+func (m *remote) take(e *peerpb.Envelope) (done bool, err error) {
+	switch k := e.GetKind().(type) {
+	case *peerpb.Envelope_Accepted:
+		go m.sendBody()
+	case *peerpb.Envelope_Head:
+		if m.res.headSent {
+			return true, errors.New("second head")
+		}
+		m.res.headSent = true
+		m.res.status = int(k.Head.GetStatus())
+		m.stream.SetReadDeadline(time.Now().Add(progressTime))
+		return false, m.sink.Head(m.res.status, fromHeaders(k.Head.GetHeaders()), k.Head.GetLength())
+	case *peerpb.Envelope_Chunk:
+		if !m.res.headSent {
+			return true, errors.New("body before head")
+		}
+		m.stream.SetReadDeadline(time.Now().Add(progressTime))
+		if err := m.pace(len(k.Chunk.GetData())); err != nil {
+			return true, err
+		}
+		n, err := m.sink.Write(k.Chunk.GetData())
+		m.res.bytes += int64(n)
+		return false, err
+	case *peerpb.Envelope_End:
+		if !m.res.headSent {
+			return true, errors.New("end before head")
+		}
+		return true, nil
+	case *peerpb.Envelope_Refused:
+		m.refused(k.Refused)
+		return true, nil
+	default:
+		return true, errors.Newf("unexpected message %T", k)
+	}
+	return false, nil
+}
+
+func (m *remote) refused(r *peerpb.Refused) {
+	run := outcome.Unknown
+	if r.GetNotRun() && !m.res.headSent {
+		run = outcome.NotRun
+	}
+	at := m.vm
+	if r.GetPeer() != "" {
+		at += "/" + r.GetPeer()
+	}
+	m.res.cause = retry.CauseRefused
+	if run != outcome.NotRun {
+		m.res.cause = retry.CauseBroken
+	}
+	f := outcome.New(outcome.Code(r.GetCode()), run, r.GetStep(), at, errors.New(r.GetMessage()))
+	m.res.failure = f.WithRetryAfter(time.Duration(r.GetRetryAfterMillis()) * time.Millisecond)
+}
+
+// broken ends a request whose stream failed. Its first message was sent, so an
+// upstream may have run it.
+func (m *remote) broken(step string, err error) {
+	code := outcome.CodeBroken
+	if m.req.expired(m.ctx, time.Now()) {
+		code = outcome.CodeDeadline
+	}
+	m.res.cause = retry.CauseBroken
+	m.res.failure = outcome.New(code, outcome.Unknown, step, m.vm, err)
+}
+
+// chunkWriter sends a body as chunks.
+type chunkWriter struct {
+	stream *peer.Stream
+	pace   func(bytes int) error
+}
+
+// Write implements io.Writer.
+func (w *chunkWriter) Write(p []byte) (int, error) {
+	sent := 0
+	for sent < len(p) {
+		part := p[sent:min(sent+wire.ChunkSize, len(p))]
+		if err := w.pace(len(part)); err != nil {
+			return sent, err
+		}
+		w.stream.SetWriteDeadline(time.Now().Add(progressTime))
+		if err := w.stream.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Chunk{Chunk: &peerpb.Chunk{Data: part}}}); err != nil {
+			return sent, err
+		}
+		sent += len(part)
+	}
+	return sent, nil
+}
+
+var _ io.Writer = (*chunkWriter)(nil)
+
+func toHeaders(h http.Header) []*peerpb.Header {
+	var out []*peerpb.Header
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &peerpb.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func fromHeaders(list []*peerpb.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, field := range list {
+		h.Add(field.GetName(), field.GetValue())
+	}
+	return h
+}
--- /dev/null
+++ b/transport/relay/route.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/capacity"
+	"github.com/ryehill/ryehill/coordination/steer"
+	"github.com/ryehill/ryehill/state/decision"
+)
+
+// RuleFailover runs a request in another hall since its own has no upstream of
+// the service left. It is no move of an operator's, so no cap covers it; the
+// receiver's grants bound it.
+const RuleFailover steer.Rule = "failover"
+
+// route is where a try goes: localRoute, waitRoute or hallRoute.
+type route interface{ describe() string }
+
+// localRoute runs the request in this hall: at an own upstream, or at one of
+// another VM of the hall if all own slots are in use.
+type localRoute struct{}
+
+// waitRoute waits for a slot of this VM's own upstreams.
+type waitRoute struct{}
+
+// hallRoute runs it in another hall under a grant.
+type hallRoute struct {
+	hall string
+	use  *capacity.Use
+	// refund gives back what the move was charged, or is nil.
+	refund func()
+}
+
+func (localRoute) describe() string { return "own hall" }
+
+func (waitRoute) describe() string { return "own upstreams, waiting" }
+
+func (r hallRoute) describe() string {
+	return "hall " + r.hall + " at VM " + r.use.Grant().Lender
+}
+
+// firstRoute decides between home and the target of a move. The order of the
+// checks matters: what costs nothing to give back comes first, and the cap is
+// charged last.
+func (e *Engine) firstRoute(r *Request, c steer.Candidate, d *decision.Record) route {
+	rule := c.Rule()
+	if rule != steer.RuleMove {
+		d.Rule = string(rule)
+		return localRoute{}
+	}
+	total, moved := e.cfg.Steerer.Counts(c.Move().ID)
+	d.Inputs = append(d.Inputs,
+		decision.Input{Name: "move " + c.Move().ID, Value: fmt.Sprintf("share %s, cap %s", c.Move().Share, c.Move().Cap)},
+		decision.Input{Name: "counted at this VM", Value: fmt.Sprintf("%d requests, %d moved", total, moved)},
+	)
+	use := e.cfg.Wallet.Take(capacity.Source{Service: r.Service, Hall: c.Target()})
+	switch {
+	case use == nil:
+		rule = steer.RuleNoGrant
+	case !e.cfg.Links.Admit(c.Target()):
+		rule = steer.RuleLink
+	case !c.Spend():
+		rule = steer.RuleCap
+	default:
+		d.Rule = string(steer.RuleMove)
+		d.Inputs = append(d.Inputs, grantInput(use.Grant()))
+		return hallRoute{hall: c.Target(), use: use, refund: c.Refund}
+	}
+	if use != nil {
+		use.Done()
+	}
+	d.Rule = string(rule)
+	return localRoute{}
+}
+
+// failover returns a route to the nearest hall that lends a slot, or false. A
+// slot that was wanted in vain is asked for at the next renewal of grants.
+func (e *Engine) failover(r *Request, d *decision.Record) (route, bool) {
+	for _, hall := range e.cfg.View().Nearest(e.cfg.Self.Hall, r.Service) {
+		use := e.cfg.Wallet.Take(capacity.Source{Service: r.Service, Hall: hall})
+		if use == nil {
+			continue
+		}
+		if !e.cfg.Links.Admit(hall) {
+			use.Done()
+			continue
+		}
+		d.Rule = string(RuleFailover)
+		d.Inputs = append(d.Inputs, grantInput(use.Grant()))
+		return hallRoute{hall: hall, use: use}, true
+	}
+	return nil, false
+}
+
+func grantInput(g capacity.Held) decision.Input {
+	return decision.Input{
+		Name:  "grant",
+		Value: fmt.Sprintf("%d slots from VM %s, %s left", g.Slots, g.Lender, time.Until(g.Ends).Round(time.Millisecond)),
+	}
+}
--- /dev/null
+++ b/transport/upstream/client.go
@@ -0,0 +1,263 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package upstream sends requests to upstreams over HTTP/1.1.
+//
+// It does not use http.Transport, for that sends a request a second time on its
+// own when a kept connection breaks, also one with an Idempotency-Key header.
+// Here one call is one try: whether a byte was given to the upstream is known
+// exactly and is part of every error.
+//
+// A connection is used again only after an exchange that both sides ended in
+// full. One that saw a late, broken or surplus answer is closed, so that no
+// answer can reach a request that it does not belong to. A request that may not
+// be repeated always gets a new connection, since a kept one may have been
+// closed by the upstream at that moment, and nobody could tell whether the
+// request was run.
+//
+// # Usage
+//
+//	client := upstream.New(upstream.Config{})
+//	answer, err := client.Do(ctx, worker, request)
+//	defer answer.Close()
+//	io.Copy(w, answer.Body())
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// HeaderRefused is how an upstream says that it did not run a request. It comes
+// with status 503 and one of the values below.
+const HeaderRefused = "Upstream-Refused"
+
+// Values of HeaderRefused.
+const (
+	RefusedShed    = "shed"
+	RefusedLeaving = "leaving"
+)
+
+// HeaderTimeout tells the upstream how many milliseconds are left.
+const HeaderTimeout = "Request-Timeout-Ms"
+
+// Kind says how a try failed.
+type Kind int
+
+// Kinds of failure.
+const (
+	// KindUnreachable means that no connection could be opened.
+	KindUnreachable Kind = iota
+	// KindBusy means that all connections to the worker are in use.
+	KindBusy
+	// KindShed means that the upstream refused for lack of room.
+	KindShed
+	// KindLeaving means that the upstream refused since it leaves.
+	KindLeaving
+	// KindBroken means that the exchange broke off or ran out of time.
+	KindBroken
+	// KindBody means that the caller's body could not be read to its end.
+	KindBody
+)
+
+// String returns the kind's name as used in metrics.
+func (k Kind) String() string {
+	return [...]string{"unreachable", "busy", "shed", "leaving", "broken", "body"}[k]
+}
+
+// Error is a failed try.
+type Error struct {
+	kind   Kind
+	notRun bool
+	step   string
+	worker string
+	cause  error
+}
+
+// Kind returns how the try failed.
+func (e *Error) Kind() Kind { return e.kind }
+
+// NotRun reports whether it is certain that the upstream did not run it: no
+// byte of the request was given to it, or it said so.
+func (e *Error) NotRun() bool { return e.notRun }
+
+// Step returns the step at which the try failed.
+func (e *Error) Step() string { return e.step }
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := "upstream " + e.worker + ": " + e.step + ": " + e.kind.String()
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Worker is where to send a request.
+type Worker struct {
+	ID      string
+	Address string
+	// Connections bounds the open connections to it.
+	Connections int
+}
+
+// Config sets up a Client. The zero value is useful.
+type Config struct {
+	// Dial opens connections. Default: a net.Dialer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Progress is how long an exchange may stand still while a body is
+	// under way. Default 30 s.
+	Progress time.Duration
+	// IdleFor is how long an unused connection is kept. Default 30 s.
+	IdleFor time.Duration
+}
+
+const (
+	defaultProgress = 30 * time.Second
+	defaultIdleFor  = 30 * time.Second
+	dialTimeout     = 2 * time.Second
+	maxIdle         = 32
+)
+
+// Client keeps connections to upstreams. It is safe for concurrent use.
+type Client struct {
+	cfg   Config
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the connections to one address.
+type pool struct {
+	mu   sync.Mutex
+	open int
+	idle []*conn // the last used one at the end
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout}
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	if cfg.Progress <= 0 {
+		cfg.Progress = defaultProgress
+	}
+	if cfg.IdleFor <= 0 {
+		cfg.IdleFor = defaultIdleFor
+	}
+	return &Client{cfg: cfg, pools: make(map[string]*pool)}
+}
+
+// CloseIdle closes all connections that are not in use.
+func (c *Client) CloseIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		p.mu.Lock()
+		for _, idle := range p.idle {
+			idle.close()
+		}
+		p.idle = nil
+		if p.open == 0 {
+			delete(c.pools, address)
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &pool{}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// connect returns a kept connection, unless fresh is asked for, or a new one.
+func (c *Client) connect(ctx context.Context, w Worker, fresh bool) (*conn, error) {
+	p := c.pool(w.Address)
+	for !fresh {
+		kept := p.takeIdle()
+		if kept == nil {
+			break
+		}
+		if time.Since(kept.since) < c.cfg.IdleFor && kept.wake() {
+			return kept, nil
+		}
+		kept.close()
+	}
+	if !p.reserve(w.Connections) {
+		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := c.cfg.Dial(ctx, w.Address)
+	if err != nil {
+		p.released()
+		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
+	}
+	return newConn(raw, p), nil
+}
+
+func (p *pool) takeIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	kept := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return kept
+}
+
+// reserve counts a new connection, closing an idle one if the limit is reached.
+func (p *pool) reserve(limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open >= limit {
+		if len(p.idle) == 0 {
+			return false
+		}
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.open--
+		oldest.pool = nil
+		oldest.close()
+	}
+	p.open++
+	return true
+}
+
+func (p *pool) released() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// keep returns a connection after a complete exchange.
+func (p *pool) keep(c *conn) {
+	c.rest()
+	p.mu.Lock()
+	if len(p.idle) < maxIdle {
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	c.close()
+}
+
+var errClosed = errors.New("upstream closed the connection")
