--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -237,25 +237,15 @@
 		result.Outcome = "no look-up: " + err.Error()
 		return result
 	}
-	for i := range c.cfg.MaxTries {
-		if len(found.VMs) == 0 {
-			break
-		}
-		vm := found.VMs[i%len(found.VMs)]
+	for i := 0; i < c.cfg.MaxTries && len(found.VMs) > 0 && ctx.Err() == nil; i++ {
 		before := result.Told
-		result = c.try(ctx, vm, service, found.Ticket, k)
+		result = c.try(ctx, found.VMs[i%len(found.VMs)], service, found.Ticket, k)
 		result.Tries = i + 1
 		result.Key = k.key
-		if k.once && i > 0 && before == ToldUnknown && result.Told == ToldNotRun && result.Outcome == "no connection" {
-			result.Told = ToldUnknown // This try never left; the first may have run.
-		}
-		if result.Told == ToldAnswer || ctx.Err() != nil {
-			break
-		}
-		if k.once && result.Told == ToldNotRun && result.Outcome != "no connection" {
-			break
+		if i > 0 && before == ToldUnknown && result.unsent() {
+			result.Told = ToldUnknown // This try never left; an earlier one may have run.
 		}
-		if !k.once && !k.repeat && result.Told == ToldUnknown {
+		if result.final(k) {
 			break
 		}
 		if fresh, err := c.Lookup(ctx, service, true); err == nil && !k.once {
@@ -266,6 +256,22 @@
 	return result
 }
 
+// noConnection is the outcome of a try that reached no VM.
+const noConnection = "no connection"
+
+func (r *Result) unsent() bool { return r.Told == ToldNotRun && r.Outcome == noConnection }
+
+// final reports whether another try would be of no use, or would do harm.
+func (r *Result) final(k call) bool {
+	switch {
+	case r.Told == ToldAnswer:
+		return true
+	case k.once:
+		return r.Told == ToldNotRun && !r.unsent()
+	}
+	return r.Told == ToldUnknown && !k.repeat
+}
+
 func (c *Client) try(ctx context.Context, vm entry.Named, service, ticket string, k call) Result {
 	if k.timeout > 0 {
 		var cancel context.CancelFunc
@@ -294,7 +300,7 @@
 	if err != nil {
 		var dial *net.OpError
 		if errors.As(err, &dial) && dial.Op == "dial" {
-			return Result{Told: ToldNotRun, Outcome: "no connection"}
+			return Result{Told: ToldNotRun, Outcome: noConnection}
 		}
 		return Result{Told: ToldUnknown, Outcome: err.Error()}
 	}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -25,8 +25,8 @@
 	return cli.EnvVars(EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
 }
 
-func text(name, usage, value string) *cli.StringFlag {
-	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: env(name)}
+func text(name, usage string) *cli.StringFlag {
+	return &cli.StringFlag{Name: name, Usage: usage, Sources: env(name)}
 }
 
 func duration(name, usage string, value time.Duration) *cli.DurationFlag {
@@ -35,15 +35,15 @@
 
 // DaemonFlags are the flags of ryehilld.
 func DaemonFlags() []cli.Flag {
-	flags := []cli.Flag{
-		text("fleet", "name of the fleet; VMs of other fleets are refused", ""),
-		text("hall", "hall that this VM is in", ""),
-		text("vm", "id of this VM", ""),
-		text("entry", "IP:port for callers", ""),
-		text("peer", "IP:port for other VMs", ""),
-		text("operator", "IP:port for operators, health checks and metrics", ""),
-		text("platform", "IP:port of the platform's object API", ""),
-		text("token", "bearer token that operators must show, 8 characters or more", ""),
+	flags := []cli.Flag{ //nolint:prealloc // A list to read, not to tune.
+		text("fleet", "name of the fleet; VMs of other fleets are refused"),
+		text("hall", "hall that this VM is in"),
+		text("vm", "id of this VM"),
+		text("entry", "IP:port for callers"),
+		text("peer", "IP:port for other VMs"),
+		text("operator", "IP:port for operators, health checks and metrics"),
+		text("platform", "IP:port of the platform's object API"),
+		text("token", "bearer token that operators must show, 8 characters or more"),
 		&cli.StringSliceFlag{Name: "seeds", Usage: "peers as VM=IP:port to ask if the platform is away at the start", Sources: env("seeds")},
 		&cli.StringSliceFlag{Name: "trusted-callers", Usage: "prefixes whose callers may name a client in Ryehill-Client", Sources: env("trusted-callers")},
 		duration("poll-interval", "time between two load polls of an upstream", daemon.DefaultPollInterval),
@@ -58,9 +58,9 @@
 	}
 	for _, listener := range []string{"entry", "peer", "operator"} {
 		flags = append(flags,
-			text(listener+"-tls-cert", "PEM certificate of the "+listener+" listener", ""),
-			text(listener+"-tls-key", "PEM key of the "+listener+" listener", ""),
-			text(listener+"-tls-ca", "PEM certificates that sign those who connect", ""),
+			text(listener+"-tls-cert", "PEM certificate of the "+listener+" listener"),
+			text(listener+"-tls-key", "PEM key of the "+listener+" listener"),
+			text(listener+"-tls-ca", "PEM certificates that sign those who connect"),
 		)
 	}
 	return flags
@@ -70,8 +70,9 @@
 // parsed are returned; all others are found by daemon.Config.Check.
 func Daemon(c *cli.Command) (daemon.Config, error) {
 	var faults []string
-	var trusted []netip.Prefix
-	for _, text := range c.StringSlice("trusted-callers") {
+	prefixes := c.StringSlice("trusted-callers")
+	trusted := make([]netip.Prefix, 0, len(prefixes))
+	for _, text := range prefixes {
 		p, err := netip.ParsePrefix(text)
 		if err != nil {
 			faults = append(faults, "trusted-callers: \""+text+"\": want a prefix such as 10.0.0.0/8")
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -10,8 +10,8 @@
 // OperatorFlags are the flags by which ryehill reaches the operators' API.
 func OperatorFlags() []cli.Flag {
 	return []cli.Flag{
-		text("operator", "operator IP:port of a VM, or several with commas between", ""),
-		text("token", "bearer token", ""),
-		text("ca", "PEM certificates that sign the VMs; switches TLS on", ""),
+		text("operator", "operator IP:port of a VM, or several with commas between"),
+		text("token", "bearer token"),
+		text("ca", "PEM certificates that sign the VMs; switches TLS on"),
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -245,7 +245,7 @@
 func (p *Platform) write(o spec.Object) spec.Object {
 	const keptVersions = 16
 	if old, ok := p.objects[o.Key]; ok {
-		history := append(p.earlier[o.Key], old)
+		history := slices.Concat(p.earlier[o.Key], []spec.Object{old})
 		p.earlier[o.Key] = history[max(0, len(history)-keptVersions):]
 	}
 	p.revision++
--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -76,7 +76,7 @@
 			if fault == nil {
 				return
 			}
-			if fault != http.ErrAbortHandler {
+			if err, ok := fault.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 				h.cfg.Log.Error(errors.Newf("%v", fault), "entry: request failed", "path", r.URL.Path)
 			}
 			panic(http.ErrAbortHandler)
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -112,7 +112,7 @@
 
 func (a *api) config(w http.ResponseWriter, _ *http.Request) {
 	_, objects := a.cfg.Store.Snapshot()
-	slices.SortFunc(objects, func(x, y spec.Object) int { return strings.Compare(x.Key.String(), y.Key.String()) })
+	slices.SortFunc(objects, func(x, y spec.Object) int { return strings.Compare(x.String(), y.String()) })
 	outcome.WriteJSON(w, http.StatusOK, spec.Set{Objects: objects})
 }
 
@@ -183,7 +183,7 @@
 	case err != nil:
 		return AppliedObject{}, err
 	case sameJSON(found.Spec, o.Spec):
-		return AppliedObject{Key: o.Key.String(), Version: found.Version}, nil
+		return AppliedObject{Key: o.String(), Version: found.Version}, nil
 	}
 	o.Version = 0
 	o.Operation = newOperation(a.cfg.VM)
@@ -193,8 +193,8 @@
 	}
 	o.Version = version
 	a.cfg.Store.Apply(spread.Changes{Since: version, Objects: []spec.Object{o}})
-	a.cfg.Log.Info("operator: object written", "key", o.Key.String(), "version", version, "at", time.Now().UTC())
-	return AppliedObject{Key: o.Key.String(), Version: version, Changed: true}, nil
+	a.cfg.Log.Info("operator: object written", "key", o.String(), "version", version, "at", time.Now().UTC())
+	return AppliedObject{Key: o.String(), Version: version, Changed: true}, nil
 }
 
 func sameJSON(x, y json.RawMessage) bool {
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -66,7 +66,7 @@
 		conn, err := l.Accept()
 		if err != nil {
 			if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+				err = nil
 			}
 			return errors.Wrap(err, "peer: accept")
 		}
--- a/transport/relay/once.go
+++ b/transport/relay/once.go
@@ -172,7 +172,7 @@
 	next Sink
 	// tolerant goes on recording after the caller has gone.
 	tolerant bool
-	gone     error
+	gone     bool
 	status   int
 	content  string
 	body     bytes.Buffer
@@ -194,12 +194,12 @@
 	if !s.tooLarge {
 		s.body.Write(p)
 	}
-	if s.gone != nil {
+	if s.gone {
 		return len(p), nil
 	}
 	n, err := s.next.Write(p)
-	if err = s.note(err); err == nil {
-		n = len(p)
+	if s.note(err) == nil {
+		return len(p), nil
 	}
 	return n, err
 }
@@ -208,7 +208,7 @@
 	if err == nil || !s.tolerant {
 		return err
 	}
-	s.gone = err
+	s.gone = true
 	return nil
 }
 
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -6,8 +6,11 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // conn is one connection to an upstream.
@@ -47,8 +50,7 @@
 		_, err := c.reader.Peek(1)
 		// A byte without a question is as bad as a closed connection; only
 		// the deadline that wake sets leaves it good.
-		timeout, ok := err.(net.Error)
-		c.spoilt = !ok || !timeout.Timeout()
+		c.spoilt = !errors.Is(err, os.ErrDeadlineExceeded)
 	}()
 }
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -85,7 +85,7 @@
 	x := &exchange{client: c, conn: conn, worker: w, req: req, sendDone: make(chan struct{})}
 	x.detach = context.AfterFunc(ctx, conn.close)
 	go x.send()
-	res, err := x.readHead()
+	res, err := x.readHead() //nolint:bodyclose // Answer.Close ends the exchange with its connection.
 	if err != nil {
 		return nil, x.fail(ctx, err)
 	}
