--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -68,7 +68,6 @@
 	Move   string
 	Rule   Rule
 	Reason string
-	Inputs []decision.Input
 }
 
 // refusedPerSecond is the rate of refusals at a target that pauses a move.
@@ -207,7 +206,11 @@
 	if err := intent.Advance(m, e, reason, f.Now); err != nil {
 		return Action{}, false
 	}
-	return Action{Move: m.ID, Rule: rule, Reason: reason, Inputs: inputs}, true
+	m.Facts = nil
+	for _, in := range inputs {
+		m.Facts = append(m.Facts, fmt.Sprintf("%s: %s, %s old", in.Name, in.Value, in.Age.Round(time.Millisecond)))
+	}
+	return Action{Move: m.ID, Rule: rule, Reason: reason}, true
 }
 
 func statusInput(h load.HallStatus, service string, now time.Time) decision.Input {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -68,8 +68,9 @@
 	Choice capacity.Choice
 
 	Log logr.Logger
-	// DialPeer and DialUpstream open connections. Default: a net.Dialer.
-	DialPeer, DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	// DialPeer, DialUpstream and DialPlatform open connections.
+	// Default: a net.Dialer.
+	DialPeer, DialUpstream, DialPlatform func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Defaults of Config.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -15,7 +15,6 @@
 	"github.com/ryehill/ryehill/coordination/controller"
 	"github.com/ryehill/ryehill/coordination/intent"
 	"github.com/ryehill/ryehill/coordination/spread"
-	"github.com/ryehill/ryehill/state/decision"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/transport/operator"
 	"github.com/ryehill/ryehill/transport/platform"
@@ -165,20 +164,11 @@
 	}
 	d.store.Apply(spread.Changes{Since: written.Version, Objects: []spec.Object{written}})
 	for _, a := range actions {
-		d.record(next, a, written.Version)
+		d.metrics.Stepped(string(a.Rule))
+		d.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason)
 	}
 }
 
-func (d *Daemon) record(t spec.Traffic, a controller.Action, version uint64) {
-	d.metrics.Stepped(string(a.Rule))
-	d.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason)
-	m := intent.Find(&t, a.Move)
-	d.decisions.Add(decision.Record{
-		ID: operator.MoveRecord(a.Move), Time: d.now(), VM: d.cfg.VM, Subject: "move " + a.Move, Rule: string(a.Rule),
-		Result: a.Reason + "; now " + string(m.State) + " at " + m.Share.String(), Generation: version, Inputs: a.Inputs,
-	})
-}
-
 // sweepPlans deletes plans that nobody confirmed in time.
 func (d *Daemon) sweepPlans(ctx context.Context) {
 	now := d.now()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 		decisions: decision.New(decision.Config{}),
 		meter:     load.NewMeter(now),
 		metrics:   metrics.New(),
-		platform:  platform.New(platform.Config{Address: cfg.Platform}),
+		platform:  platform.New(platform.Config{Address: cfg.Platform, Client: platformClient(cfg.DialPlatform)}),
 		upstreams: upstream.New(upstream.Config{Dial: cfg.DialUpstream}),
 		polls:     &http.Client{Timeout: pollTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: dialContext(cfg.DialUpstream)}},
 		neighbors: relay.NewNeighbors(),
@@ -131,6 +131,11 @@
 	return d, nil
 }
 
+func platformClient(dial func(ctx context.Context, address string) (net.Conn, error)) *http.Client {
+	const idle = 4
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idle, IdleConnTimeout: time.Minute, DialContext: dialContext(dial)}}
+}
+
 func dialContext(dial func(ctx context.Context, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	if dial == nil {
 		return nil
--- a/internal/program/print.go
+++ b/internal/program/print.go
@@ -110,6 +110,7 @@
 		for _, h := range m.History {
 			printf(w, "  %s  %-9s %-8s %s\n", time.UnixMilli(h.At).UTC().Format("15:04:05.000"), h.State, h.Share, h.Reason)
 		}
+		printList(w, "  the last change rested on", m.Facts)
 	}
 	d := e.Decision
 	if d == nil {
--- a/state/spec/traffic.go
+++ b/state/spec/traffic.go
@@ -57,6 +57,8 @@
 	Reason string `json:"reason,omitempty"`
 	// Changed is the Unix time in milliseconds of the last change.
 	Changed int64 `json:"changed"`
+	// Facts are what the last change rested on, with their ages.
+	Facts []string `json:"facts,omitempty"`
 	// History holds the last changes, oldest first, at most MaxHistory.
 	History []MoveChange `json:"history,omitempty"`
 }
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -77,11 +77,7 @@
 func (a *api) explain(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if m := intent.Find(a.cfg.View().Traffic(), id); m != nil {
-		e := Explanation{Move: m}
-		if record, ok := a.cfg.Decisions.Find(MoveRecord(id)); ok {
-			e.Decision = &record
-		}
-		outcome.WriteJSON(w, http.StatusOK, e)
+		outcome.WriteJSON(w, http.StatusOK, Explanation{Move: m})
 		return
 	}
 	vm, _, ok := strings.Cut(id, ".")
@@ -106,10 +102,6 @@
 	outcome.WriteJSON(w, http.StatusOK, Explanation{Decision: &record})
 }
 
-// MoveRecord returns the decision id of a move's last step, as kept by the
-// controller that took it.
-func MoveRecord(moveID string) string { return "move/" + moveID }
-
 func (a *api) config(w http.ResponseWriter, _ *http.Request) {
 	_, objects := a.cfg.Store.Snapshot()
 	slices.SortFunc(objects, func(x, y spec.Object) int { return strings.Compare(x.String(), y.String()) })
--- a/transport/relay/engine.go
+++ b/transport/relay/engine.go
@@ -191,7 +191,7 @@
 	d := decision.Record{
 		ID: r.id, Time: time.Now(), VM: e.cfg.Self.VM, Subject: r.Method + " " + r.Service,
 		Generation: v.Generation(),
-		Inputs:     []decision.Input{{Name: "client", Value: r.Client.String()}},
+		Inputs:     []decision.Input{{Name: "client", Value: r.Client.String()}, e.slotsInput(r.Service)},
 	}
 	next := e.firstRoute(r, candidate, &d)
 	var out served
@@ -245,9 +245,22 @@
 	if res.failure != nil {
 		text = res.failure.Error() + ", " + string(res.failure.Run())
 	}
+	if res.at != "" {
+		text += " at " + res.at
+	}
 	d.Result = text
 	d.Inputs = append(d.Inputs, decision.Input{
 		Name:  fmt.Sprintf("try %d, %s", number, r.describe()),
 		Value: text,
 	})
 }
+
+// slotsInput tells what this VM knows of its own upstreams.
+func (e *Engine) slotsInput(service string) decision.Input {
+	s := e.cfg.Pools.Get(service).Status()
+	return decision.Input{
+		Name:  "own slots",
+		Value: fmt.Sprintf("usable %d, in use %d, lent %d, waiting %d", s.Usable, s.InUse, s.Lent, s.Waiting),
+		Age:   s.OldestReport,
+	}
+}
--- a/transport/relay/local.go
+++ b/transport/relay/local.go
@@ -93,7 +93,7 @@
 	}
 	defer answer.Close()
 	e.cfg.Metrics.Tried("answered")
-	res := result{status: answer.Status(), headSent: true}
+	res := result{status: answer.Status(), headSent: true, at: w.ID}
 	if err := sink.Head(answer.Status(), CleanHeader(answer.Header()), answer.Length()); err != nil {
 		slot.Release(capacity.ResultBroken)
 		res.cause, res.failure = retry.CauseBroken, callerGone(err)
@@ -139,7 +139,9 @@
 	if run == outcome.NotRun {
 		f = f.WithRetryAfter(retryAfterFull)
 	}
-	return failed(cause, f)
+	res := failed(cause, f)
+	res.at = slot.Worker().ID
+	return res
 }
 
 func classify(k upstream.Kind) (retry.Cause, outcome.Code, capacity.Result) {
--- a/transport/relay/remote.go
+++ b/transport/relay/remote.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	stop := stream.CloseWith(ctx)
 	defer stop()
-	m := &remote{engine: e, ctx: ctx, req: r, stream: stream, vm: vm, hall: hall, sink: sink}
+	m := &remote{res: result{at: "VM " + vm}, engine: e, ctx: ctx, req: r, stream: stream, vm: vm, hall: hall, sink: sink}
 	if open.GetEager() {
 		m.sendBody()
 	}
--- a/transport/relay/request.go
+++ b/transport/relay/request.go
@@ -109,8 +109,10 @@
 
 // result is how one try ended.
 type result struct {
-	failure  *outcome.Failure // nil if the answer was passed on in full
-	cause    retry.Cause
+	failure *outcome.Failure // nil if the answer was passed on in full
+	cause   retry.Cause
+	// at is the worker that was tried, or the VM that was asked.
+	at       string
 	headSent bool
 	status   int
 	bytes    int64
