coordination, state, transport: properties and failure tests of the parts

Found: a store that holds an object newer than the revision up to which it is complete left that object out of its answers, yet called the answer complete; rapid found it after 6 histories. It is now sent along. Ruled out while testing: a surplus answer in the same packet as the awaited one is seen and its connection dropped; one that comes later than the next use of the connection cannot be told apart in HTTP/1.1 and is listed in PROMISES.

--- a/coordination/spread/spread.go
+++ b/coordination/spread/spread.go
@@ -139,7 +139,9 @@
 	defer s.mu.Unlock()
 	c := Changes{Since: revision, UpTo: s.complete}
 	for _, o := range s.objects {
-		if o.Version > revision && o.Version <= s.complete {
+		// Objects newer than what is complete go along: an older version of
+		// theirs, which the receiver may lack, is not held any more.
+		if o.Version > revision {
 			c.Objects = append(c.Objects, o)
 		}
 	}
@@ -149,7 +151,7 @@
 		size += len(o.Spec)
 		if size > maxReplyBytes && i > 0 {
 			c.Objects = c.Objects[:i]
-			c.UpTo = c.Objects[i-1].Version
+			c.UpTo = min(s.complete, c.Objects[i-1].Version)
 			break
 		}
 	}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -35,7 +35,7 @@
 
 // DaemonFlags are the flags of ryehilld.
 func DaemonFlags() []cli.Flag {
-	flags := []cli.Flag{ //nolint:prealloc // A list to read, not to tune.
+	flags := []cli.Flag{
 		text("fleet", "name of the fleet; VMs of other fleets are refused"),
 		text("hall", "hall that this VM is in"),
 		text("vm", "id of this VM"),
--- /dev/null
+++ b/protocol/wire/wire_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package wire_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/protocol/wire"
+)
+
+func TestFramesComeBackWhole(t *testing.T) {
+	var out bytes.Buffer
+	w := wire.NewWriter(&out)
+	for _, size := range []int{0, 1, wire.ChunkSize, 1 << 20} {
+		if err := w.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Chunk{Chunk: &peerpb.Chunk{Data: make([]byte, size)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := wire.NewReader(&out)
+	for _, size := range []int{0, 1, wire.ChunkSize, 1 << 20} {
+		e, err := r.Read()
+		if err != nil || len(e.GetChunk().GetData()) != size {
+			t.Fatalf("%d bytes, %v; want %d", len(e.GetChunk().GetData()), err, size)
+		}
+	}
+	if _, err := r.Read(); !errors.Is(err, io.EOF) {
+		t.Fatalf("got %v at the end", err)
+	}
+}
+
+func TestTooLongFrameIsRefused(t *testing.T) {
+	w := wire.NewWriter(io.Discard)
+	e := &peerpb.Envelope{Kind: &peerpb.Envelope_Chunk{Chunk: &peerpb.Chunk{Data: make([]byte, wire.MaxFrame)}}}
+	if err := w.Write(e); !errors.Is(err, wire.ErrFrame) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	var out bytes.Buffer
+	_ = wire.NewWriter(&out).Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: &peerpb.Probe{Revision: 7}}})
+	f.Add(out.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r := wire.NewReader(bytes.NewReader(body))
+		for range 100 {
+			e, err := r.Read()
+			if err != nil {
+				return
+			}
+			if e.GetKind() == nil {
+				t.Fatal("a message of no kind")
+			}
+		}
+	})
+}
