--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,10 +63,20 @@
 
 	mu      sync.Mutex
 	workers map[string]*standin.Upstream
+	placed  map[string]placed
 	hosts   map[string]*Host
 	order   []string
 }
 
+// placed says where a worker is.
+type placed struct{ service, hall string }
+
+// HallOf returns the hall of a worker.
+func (f *Fleet) HallOf(worker string) string { return f.placed[worker].hall }
+
+// ServiceOf returns the service of a worker.
+func (f *Fleet) ServiceOf(worker string) string { return f.placed[worker].service }
+
 // Host is one VM and the daemon on it.
 type Host struct {
 	VM       spec.VM
@@ -85,6 +95,7 @@
 		base:     16 + (os.Getpid()*7+int(fleets.Add(1)))%200,
 		platform: standin.NewPlatform(standin.PlatformConfig{}),
 		workers:  make(map[string]*standin.Upstream),
+		placed:   make(map[string]placed),
 		hosts:    make(map[string]*Host),
 	}
 	f.network = newNetwork(f.plan.delay)
@@ -161,6 +172,7 @@
 func (f *Fleet) startWorker(s ServicePlan, w spec.Worker) error {
 	worker := standin.NewUpstream(standin.UpstreamConfig{ID: w.ID, Slots: w.Slots, Time: s.Time, WarmStart: f.options.WarmStart})
 	f.workers[w.ID] = worker
+	f.placed[w.ID] = placed{service: s.Name, hall: w.Hall}
 	return f.serve(w.Address, &http.Server{Handler: worker.Handler(), ConnState: worker.ConnState})
 }
 
--- a/internal/loadgen/client.go
+++ b/internal/loadgen/client.go
@@ -70,6 +70,9 @@
 	Timeout time.Duration
 	// MaxTries bounds the tries of one request. Default 3.
 	MaxTries int
+	// Origin begins the mark of every request, if set, so that upstreams can
+	// count where requests come from.
+	Origin string
 }
 
 // Client acts as one client. It is safe for concurrent use.
@@ -107,7 +110,12 @@
 	}}
 }
 
-func newMark() string { return fmt.Sprintf("m%08x", marks.Add(1)) }
+func (c *Client) newMark() string {
+	if c.cfg.Origin != "" {
+		return fmt.Sprintf("%s~m%08x", c.cfg.Origin, marks.Add(1))
+	}
+	return fmt.Sprintf("m%08x", marks.Add(1))
+}
 
 // Lookup returns the cached answer while it lasts, or asks. With fresh, it
 // always asks: a ticket is good for one request only.
@@ -167,7 +175,7 @@
 
 // Read sends a read and checks that the answer is its own and whole.
 func (c *Client) Read(ctx context.Context, service string, size int) Result {
-	mark := newMark()
+	mark := c.newMark()
 	want := standin.Fill(mark, size)
 	check := func(body []byte) error {
 		if !bytes.Equal(body, want) {
@@ -183,7 +191,7 @@
 // Pay sends a request that may run at most once. If its answer is lost, it asks
 // again with the same ticket, at the other VMs too.
 func (c *Client) Pay(ctx context.Context, service string, body []byte) Result {
-	mark := newMark()
+	mark := c.newMark()
 	return c.send(ctx, service, call{
 		method: http.MethodPost, path: "/pay", mark: mark, key: mark, once: true, timeout: c.cfg.Timeout,
 		body:  func() io.Reader { return bytes.NewReader(body) },
@@ -194,13 +202,25 @@
 
 // Upload sends a body that takes at least a while, in pieces.
 func (c *Client) Upload(ctx context.Context, service string, size int, over time.Duration) Result {
-	mark := newMark()
+	return c.send(ctx, service, c.uploadCall(size, over))
+}
+
+// UploadTo sends an upload to one VM, without a look-up and without a retry.
+func (c *Client) UploadTo(ctx context.Context, vm, service string, size int, over time.Duration) Result {
+	started := time.Now()
+	result := c.try(ctx, entry.Named{Entry: vm}, service, "", c.uploadCall(size, over))
+	result.Took = time.Since(started)
+	return result
+}
+
+func (c *Client) uploadCall(size int, over time.Duration) call {
+	mark := c.newMark()
 	data := standin.Fill(mark, size)
-	return c.send(ctx, service, call{
+	return call{
 		method: http.MethodPut, path: "/scan", mark: mark, key: mark, size: int64(size),
 		body:  func() io.Reader { return &slowReader{data: data, over: over} },
 		check: receiptCheck(mark, mark, data),
-	})
+	}
 }
 
 func receiptCheck(mark, key string, body []byte) func([]byte) error {
--- a/internal/loadgen/load.go
+++ b/internal/loadgen/load.go
@@ -46,8 +46,10 @@
 	Clients []netip.Addr
 	VMs     []string
 	HTTP    *http.Client
-	// HTTPFor returns the HTTP client of a client's address. Default HTTP.
-	HTTPFor  func(netip.Addr) *http.Client
+	// Origin begins the mark of every request, if set.
+	Origin string
+	// Progress, if set, counts while the load runs.
+	Progress *Progress
 	Duration time.Duration
 	Seed     uint64
 	// MaxInFlight bounds the requests under way; more are counted as missed.
@@ -55,6 +57,37 @@
 	Timeout     time.Duration
 }
 
+// Progress counts requests by kind while a load runs. Sent goes up before a
+// request leaves, Done after its end, so that Sent less an earlier Done bounds
+// what arrived between the two moments. It is safe for concurrent use.
+type Progress struct {
+	mu   sync.Mutex
+	sent map[Kind]int
+	done map[Kind]int
+}
+
+// NewProgress returns a Progress at zero.
+func NewProgress() *Progress {
+	return &Progress{sent: make(map[Kind]int), done: make(map[Kind]int)}
+}
+
+// Counts returns how many requests of a kind were sent and have ended.
+func (p *Progress) Counts(k Kind) (sent, done int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sent[k], p.done[k]
+}
+
+func (p *Progress) add(k Kind, sent, done int) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[k] += sent
+	p.done[k] += done
+}
+
 // Summary is what came back, for one kind.
 type Summary struct {
 	Sent     int64   `json:"sent"`
@@ -95,22 +128,28 @@
 	defaultSlots = 2048
 )
 
-// Run sends the load until its duration or ctx ends, and waits for the answers.
-func Run(ctx context.Context, l Load) Report {
-	if l.MaxInFlight <= 0 {
-		l.MaxInFlight = defaultSlots
-	}
+// Run sends loads side by side, each until its duration or ctx ends, waits for
+// the answers, and reports on all of them together.
+func Run(ctx context.Context, loads ...Load) Report {
 	r := &recorder{
 		report: Report{Kinds: make(map[string]*Summary), Refusals: make(map[string]int), Paid: make(map[string]Told)},
 		times:  make(map[string]*hdrhistogram.Histogram),
 	}
+	var wg sync.WaitGroup
+	for _, l := range loads {
+		wg.Go(func() { l.run(ctx, r) })
+	}
+	wg.Wait()
+	return r.finish()
+}
+
+func (l *Load) run(ctx context.Context, r *recorder) {
+	if l.MaxInFlight <= 0 {
+		l.MaxInFlight = defaultSlots
+	}
 	clients := make([]*Client, len(l.Clients))
 	for i, address := range l.Clients {
-		client := l.HTTP
-		if l.HTTPFor != nil {
-			client = l.HTTPFor(address)
-		}
-		clients[i] = New(Config{VMs: l.VMs, HTTP: client, Client: address, Timeout: l.Timeout})
+		clients[i] = New(Config{VMs: l.VMs, HTTP: l.HTTP, Client: address, Timeout: l.Timeout, Origin: l.Origin})
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.Duration)
 	defer cancel()
@@ -121,7 +160,6 @@
 		})
 	}
 	wg.Wait()
-	return r.finish()
 }
 
 // stream sends one stream's requests at exponentially distributed distances.
@@ -150,7 +188,10 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			// Requests under way when the run ends are not cut off.
+			l.Progress.add(s.Kind, 1, 0)
 			result := sendOne(context.WithoutCancel(ctx), client, s)
+			// A request that was tried more than once arrived more than once.
+			l.Progress.add(s.Kind, max(0, result.Tries-1), 1+max(0, result.Tries-1))
 			result.Took = time.Since(due)
 			r.add(s, result)
 		})
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -77,11 +78,15 @@
 	shed     atomic.Uint64
 	canceled atomic.Uint64
 	lastWork atomic.Int64
-	open     atomic.Int64
+	refused  atomic.Int64
+	// lastRefused is when it last refused because it leaves, in Unix ms.
+	lastRefused atomic.Int64
+	open        atomic.Int64
 
-	mu     sync.Mutex
-	faults UpstreamFaults
-	runs   map[string]int
+	mu      sync.Mutex
+	faults  UpstreamFaults
+	runs    map[string]int
+	origins map[string]int
 }
 
 // NewUpstream returns a worker.
@@ -102,7 +107,7 @@
 	if cfg.ColdAnswers <= 0 {
 		cfg.ColdAnswers = defaultAnswers
 	}
-	u := &Upstream{cfg: cfg, start: uint64(time.Now().UnixMicro()), runs: make(map[string]int)}
+	u := &Upstream{cfg: cfg, start: uint64(time.Now().UnixMicro()), runs: make(map[string]int), origins: make(map[string]int)}
 	if cfg.WarmStart {
 		u.answered.Store(uint64(cfg.ColdAnswers))
 	}
@@ -125,19 +130,18 @@
 	Peak     int64          `json:"peak"`
 	LastWork int64          `json:"last_work_ms"`
 	Runs     map[string]int `json:"runs"`
+	Origins  map[string]int `json:"origins"`
 }
 
-// Counts returns a snapshot. Runs holds how often each key was run.
+// Counts returns a snapshot. Runs holds how often each key was run, Origins how
+// many requests came whose mark begins with an origin and "~".
 func (u *Upstream) Counts() Counts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	runs := make(map[string]int, len(u.runs))
-	for k, n := range u.runs {
-		runs[k] = n
-	}
 	return Counts{
 		ID: u.cfg.ID, Answered: u.answered.Load(), Shed: u.shed.Load(), Canceled: u.canceled.Load(),
-		Peak: u.peak.Load(), LastWork: u.lastWork.Load(), Runs: runs,
+		Peak: u.peak.Load(), LastWork: u.lastWork.Load(),
+		Runs: maps.Clone(u.runs), Origins: maps.Clone(u.origins),
 	}
 }
 
@@ -208,6 +212,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if f.Leaving {
+		u.lastRefused.Store(time.Now().UnixMilli())
+		u.refused.Add(1)
 		refuse(w, upstream.RefusedLeaving)
 		return
 	}
@@ -220,11 +226,7 @@
 	}
 	u.raisePeak(n)
 	u.lastWork.Store(time.Now().UnixMilli())
-	if key := r.Header.Get(HeaderKey); key != "" {
-		u.mu.Lock()
-		u.runs[key]++
-		u.mu.Unlock()
-	}
+	u.count(r)
 	sum, size, err := digest(r.Body)
 	if err != nil || !u.work(r, f) {
 		u.canceled.Add(1)
@@ -237,6 +239,36 @@
 	u.answer(w, r, f, sum, size)
 }
 
+// Origin returns how many requests of an origin were run.
+func (u *Upstream) Origin(origin string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.origins[origin]
+}
+
+// RefusedSince returns how many requests it refused because it leaves, if the
+// last of them came after a time, else 0.
+func (u *Upstream) RefusedSince(t time.Time) int {
+	if u.lastRefused.Load() < t.UnixMilli() {
+		return 0
+	}
+	return int(u.refused.Load())
+}
+
+// InFlight returns how many requests are under way.
+func (u *Upstream) InFlight() int { return int(u.inFlight.Load()) }
+
+func (u *Upstream) count(r *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if key := r.Header.Get(HeaderKey); key != "" {
+		u.runs[key]++
+	}
+	if origin, _, ok := strings.Cut(r.Header.Get(HeaderMark), "~"); ok {
+		u.origins[origin]++
+	}
+}
+
 // takeFaults returns the faults for one request and uses up the counted ones.
 func (u *Upstream) takeFaults() UpstreamFaults {
 	u.mu.Lock()
