daemon: tell the whole hall which upstreams leave

Cause: that an upstream leaves was known only to the VM that owned it. When that VM stopped, its successor trusted the upstream's lying endpoints and sent it two requests (refused, not run) more than 3 s after it had left. Ruled out: a lost sticky mark at the owner (its pool sent nothing), and the VM list (it does not know). Change: probes within a hall carry the leaving upstreams with their start numbers; a VM that takes one over gives it nothing until another start is seen. Conclusion: the promise holds over a change of owner.

--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -162,6 +162,25 @@
 	})
 }
 
+// Regression: a VM that took a leaving worker over sent it work, since the worker
+// hid that it leaves and only the former owner knew.
+func TestTakenOverWorkerThatLeavesGetsNothing(t *testing.T) {
+	Convey("Given a worker whose start 7 is known to leave", t, func() {
+		p := capacity.New(capacity.Config{})
+		p.SetWorkers([]capacity.Worker{{ID: "w", Address: "10.0.0.1:80", Slots: 5, LeavingStart: 7}})
+		So(p.Status().Usable, ShouldEqual, 0)
+		Convey("it gets nothing while it is of that start", func() {
+			p.Report("w", capacity.Report{Start: 7})
+			So(p.Status().Usable, ShouldEqual, 0)
+			So(p.LeavingStarts(), ShouldResemble, map[string]uint64{"w": 7})
+		})
+		Convey("a new start is used", func() {
+			p.Report("w", capacity.Report{Start: 8})
+			So(p.Status().Usable, ShouldEqual, 5)
+		})
+	})
+}
+
 func TestWhatIsUsable(t *testing.T) {
 	cases := map[string]struct {
 		cold   int
--- a/coordination/capacity/worker.go
+++ b/coordination/capacity/worker.go
@@ -34,6 +34,10 @@
 	ColdAnswers int
 	// Leaving is set if an operator or the VM list says that it leaves.
 	Leaving bool
+	// LeavingStart is a start of the worker that another VM knows to leave,
+	// or 0. A VM that takes a worker over gives it nothing until it knows
+	// that its start is another one.
+	LeavingStart uint64
 }
 
 // Report is what a worker says of itself.
@@ -84,10 +88,11 @@
 	w.peak = max(w.peak, w.inUse)
 }
 
-// usable returns how many requests the worker may carry now, in flight ones
-// included. It never falls for lack of trust below what is in flight already.
+// usable returns how many requests the worker may carry now, those in flight
+// included.
 func (w *worker) usable(now time.Time) int {
-	if w.leaving || w.Leaving || w.failures >= failuresToDown {
+	unsure := w.LeavingStart != 0 && (!w.known || w.start == w.LeavingStart)
+	if w.leaving || w.Leaving || unsure || w.failures >= failuresToDown {
 		return 0
 	}
 	limit := w.warm()
@@ -118,13 +123,14 @@
 
 func (w *worker) report(r Report, now time.Time) {
 	if !w.known || r.Start != w.start {
+		// A refusal that came before the first report is of this start.
+		w.leaving = w.leaving && !w.known
 		w.known = true
 		w.start = r.Start
-		w.leaving = false
 		w.answered = int(min(r.Answered, uint64(w.ColdAnswers)))
 		w.latency = 0
 	}
-	w.leaving = w.leaving || r.Leaving
+	w.leaving = w.leaving || r.Leaving || r.Start == w.LeavingStart
 	w.reported = now
 	w.failures = 0
 	// The report may be older than requests that ended since, so the most
@@ -155,6 +161,20 @@
 	}
 }
 
+// LeavingStarts returns the owned workers that are known to leave, with their
+// start numbers, so that other VMs can be told.
+func (p *Pool) LeavingStarts() map[string]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	starts := make(map[string]uint64)
+	for _, w := range p.order {
+		if w.leaving && w.known {
+			starts[w.ID] = w.start
+		}
+	}
+	return starts
+}
+
 // Owned returns the workers that the pool owns now.
 func (p *Pool) Owned() []Worker {
 	p.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,6 +72,7 @@
 	peers     *peer.Manager
 	engine    *relay.Engine
 	neighbors *relay.Neighbors
+	leavers   *leavers
 
 	entryListener, peerListener, operatorListener net.Listener
 	entryServer, operatorServer                   *http.Server
@@ -111,6 +112,7 @@
 		upstreams: upstream.New(upstream.Config{Dial: cfg.DialUpstream}),
 		polls:     &http.Client{Timeout: pollTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DialContext: dialContext(cfg.DialUpstream)}},
 		neighbors: relay.NewNeighbors(),
+		leavers:   newLeavers(),
 		reassign:  make(chan struct{}, 1),
 		pollNow:   make(chan struct{}, 1),
 	}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -52,6 +52,7 @@
 		// The last VM of a hall keeps its upstreams until it stops.
 		vms = []string{d.cfg.VM}
 	}
+	d.noteLeavers(v)
 	leaving := d.store.VMs().Leaving
 	others := make(map[string][]string)
 	grown := false
@@ -100,7 +101,9 @@
 	for _, w := range inHall {
 		owner := owners[w.ID]
 		if owner == d.cfg.VM {
-			mine = append(mine, poolWorker(s, w, v.Leaving(w.ID) || contains(leaving, w.ID)))
+			own := poolWorker(s, w, v.Leaving(w.ID) || contains(leaving, w.ID))
+			own.LeavingStart = d.leavers.start(w.ID)
+			mine = append(mine, own)
 		} else if !contains(others, owner) {
 			others = append(others, owner)
 		}
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -218,6 +218,7 @@
 	}
 	if hall == d.cfg.Hall {
 		p.Free = d.free()
+		p.Leaving = d.leavers.all()
 	}
 	return p
 }
@@ -250,6 +251,9 @@
 			d.neighbors.Told(from, service, int(free), now)
 		}
 	}
+	if d.leavers.learn(p.GetLeaving()) {
+		d.signal(d.reassign)
+	}
 	revision, list := d.store.Revisions()
 	if p.GetRevision() > revision || p.GetVmList() > list {
 		go d.pull(from)
