demo: measure headroom by shift and by drain

Cause: headroom of tanger read 0 % 'during moves'. Found: the 0 % is at the cold start, where workers offer two slots each, and falls into the shift of another region; during the drain tanger keeps 62 %. Change: the demo reports the least headroom of the shift and of the drain apart.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -61,7 +61,8 @@
 // use, of the service that has least.
 type Headroom struct {
 	Region string  `json:"region"`
-	Least  float64 `json:"least_during_moves"`
+	Shift  float64 `json:"least_during_shift"`
+	Drain  float64 `json:"least_during_drain"`
 	After  float64 `json:"after"`
 }
 
@@ -244,6 +245,7 @@
 	}
 	r.say("shift %s: %s of %s from %s to %s, cap %s", id, shiftShare, service, from, to, shiftCap)
 	r.watch.followCap(service, from, progress)
+	r.watch.enter(phaseShift)
 	return nil
 }
 
@@ -255,6 +257,7 @@
 	for i := range len(r.halls) {
 		r.fleet.Worker(fmt.Sprintf("%s-%d", service, i+1)).SetFaults(standin.UpstreamFaults{DropRequests: each})
 	}
+	r.watch.enter(phaseOther)
 	r.say("a worker of %s in each hall loses the answers of %d requests that it ran", service, each)
 	return nil
 }
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -68,8 +68,8 @@
 		return err
 	}
 	r.say("drain %s: hall %s, in steps of %s", id, hall, drainStep)
-	r.watch.moving.Store(true)
-	defer r.watch.moving.Store(false)
+	r.watch.enter(phaseDrain)
+	defer r.watch.enter(phaseOther)
 	workers := r.watch.workersIn(hall)
 	quietSince := time.Now()
 	last := -1
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -86,6 +86,9 @@
 		r.report.Promises = append(r.report.Promises, *p)
 	}
 	for _, region := range r.cfg.Plan.Regions {
-		r.report.Headroom = append(r.report.Headroom, Headroom{Region: region, Least: r.watch.least[region], After: r.watch.now[region]})
+		r.report.Headroom = append(r.report.Headroom, Headroom{
+			Region: region, Shift: r.watch.least[phaseShift][region],
+			Drain: r.watch.least[phaseDrain][region], After: r.watch.now[region],
+		})
 	}
 }
--- a/internal/demo/watch.go
+++ b/internal/demo/watch.go
@@ -9,7 +9,6 @@
 	"maps"
 	"math"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ryehill/ryehill/internal/fleet"
@@ -19,15 +18,31 @@
 	"github.com/ryehill/ryehill/transport/operator"
 )
 
+// phase is the part of the run that headroom is measured for.
+type phase int
+
+const (
+	phaseOther phase = iota
+	phaseShift
+	phaseDrain
+)
+
+// enter begins a phase.
+func (w *watcher) enter(p phase) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.phase = p
+}
+
 // watcher looks at the fleet from outside while the run goes on.
 type watcher struct {
-	run    *run
-	moving atomic.Bool
+	run *run
 
 	mu          sync.Mutex
 	generations map[string]uint64
 	statuses    map[string]operator.Status
-	least       map[string]float64
+	phase       phase
+	least       map[phase]map[string]float64 // by phase, by region
 	now         map[string]float64
 	paid        map[string]loadgen.Told
 	checks      []func()
@@ -36,7 +51,7 @@
 func newWatcher(r *run) *watcher {
 	return &watcher{
 		run: r, generations: make(map[string]uint64), statuses: make(map[string]operator.Status),
-		least: make(map[string]float64), now: make(map[string]float64), paid: make(map[string]loadgen.Told),
+		least: map[phase]map[string]float64{phaseOther: {}, phaseShift: {}, phaseDrain: {}}, now: make(map[string]float64), paid: make(map[string]loadgen.Told),
 	}
 }
 
@@ -107,12 +122,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.now = now
-	if !w.moving.Load() {
-		return
-	}
+	least := w.least[w.phase]
 	for region, free := range now {
-		if known, ok := w.least[region]; !ok || free < known {
-			w.least[region] = free
+		if known, ok := least[region]; !ok || free < known {
+			least[region] = free
 		}
 	}
 }
@@ -173,7 +186,6 @@
 	}
 	before := moved()
 	_, done := progress.Counts(loadgen.KindRead)
-	w.moving.Store(true)
 	w.follow(func() {
 		m := moved() - before
 		sent, _ := progress.Counts(loadgen.KindRead)
--- a/internal/program/demo.go
+++ b/internal/program/demo.go
@@ -70,9 +70,9 @@
 		s := r.Latency[name]
 		printf(table, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\n", name, s.Sent, s.Answered, s.NotRun, s.Unknown, s.P50, s.P95, s.P99)
 	}
-	printf(table, "\nHEADROOM OF THE SERVICE WITH LEAST\tLEAST DURING MOVES\tAFTER\n")
+	printf(table, "\nHEADROOM OF THE SERVICE WITH LEAST\tLEAST DURING SHIFT\tDURING DRAIN\tAFTER\n")
 	for _, h := range r.Headroom {
-		printf(table, "%s\t%.0f%%\t%.0f%%\n", h.Region, 100*h.Least, 100*h.After)
+		printf(table, "%s\t%.0f%%\t%.0f%%\t%.0f%%\n", h.Region, 100*h.Shift, 100*h.Drain, 100*h.After)
 	}
 	printf(table, "\nTIMES\tSECONDS\n")
 	printf(table, "drain of a hall, confirm to empty\t%.1f\n", r.DrainSeconds)
