--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -111,7 +111,7 @@
 type run struct {
 	cfg   Config
 	fleet *fleet.Fleet
-	op    *operatorClient
+	op    *fleet.Operator
 	halls []string
 	began time.Time
 	watch *watcher
@@ -140,7 +140,7 @@
 	}
 	defer f.Close()
 	r := &run{cfg: cfg, fleet: f, halls: f.Halls(), began: time.Now(), promises: make(map[string]*Promise)}
-	r.op = &operatorClient{address: f.Host(f.VMs()[0]).Operator}
+	r.op = f.Operator(f.VMs()[0])
 	r.report.Fleet = cfg.Plan.Name
 	return r.all(ctx)
 }
@@ -239,7 +239,7 @@
 	from, to := r.halls[0], r.halls[r.cfg.Plan.Halls]
 	limit := shiftCap
 	service := r.cfg.Plan.Services[0].Name
-	id, err := r.op.carryOut(ctx, intent.Shift{Service: service, From: from, To: to, Share: shiftShare, Cap: &limit})
+	id, err := r.op.CarryOut(ctx, intent.Shift{Service: service, From: from, To: to, Share: shiftShare, Cap: &limit})
 	if err != nil {
 		return err
 	}
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -44,7 +44,7 @@
 		Spec: fmt.Appendf(nil, `{"halls":{%q:["10.200.0.0/16"]}}`, r.halls[1]),
 	}
 	accepted := time.Now()
-	version, err := r.op.apply(ctx, object)
+	version, err := r.op.Apply(ctx, object)
 	if err != nil {
 		return err
 	}
@@ -63,7 +63,7 @@
 func (r *run) drain(ctx context.Context) error {
 	hall := r.halls[len(r.halls)-1]
 	confirmed := time.Now()
-	id, err := r.op.carryOut(ctx, intent.DrainHall{Hall: hall, Step: drainStep})
+	id, err := r.op.CarryOut(ctx, intent.DrainHall{Hall: hall, Step: drainStep})
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,7 @@
 		return time.Since(quietSince) > drainQuiet
 	})
 	if !emptied {
-		return errors.Newf("demo: hall %s is not empty: %s", hall, r.op.describe(ctx, id))
+		return errors.Newf("demo: hall %s is not empty: %s", hall, r.op.Describe(ctx, id))
 	}
 	r.report.DrainSeconds = quietSince.Sub(confirmed).Seconds()
 	r.say("hall %s is empty %.1f s after the confirm", hall, r.report.DrainSeconds)
--- a/internal/demo/watch.go
+++ b/internal/demo/watch.go
@@ -73,7 +73,7 @@
 	var wg sync.WaitGroup
 	for _, vm := range w.run.fleet.VMs() {
 		wg.Go(func() {
-			s, err := (&operatorClient{address: w.run.fleet.Host(vm).Operator}).status(ctx)
+			s, err := w.run.fleet.Operator(vm).Status(ctx)
 			if err == nil {
 				w.take(vm, s)
 			}
--- a/internal/fleet/conn.go
+++ b/internal/fleet/conn.go
@@ -62,6 +62,7 @@
 			if !c.wait(p.due) {
 				return
 			}
+			c.network.count(c.from, c.to, len(p.data))
 			if _, err := c.Conn.Write(p.data); err != nil {
 				_ = c.Close()
 				return
@@ -90,6 +91,7 @@
 	for {
 		buffer := make([]byte, pieceBytes)
 		n, err := c.Conn.Read(buffer)
+		c.network.count(c.from, c.to, n)
 		p := piece{data: buffer[:n], due: time.Now().Add(c.delay), err: err}
 		select {
 		case c.in <- p:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,6 +60,7 @@
 	network  *Network
 	platform *standin.Platform
 	servers  []*http.Server
+	stops    map[string]*http.Server // of workers
 
 	mu      sync.Mutex
 	workers map[string]*standin.Upstream
@@ -96,6 +97,7 @@
 		platform: standin.NewPlatform(standin.PlatformConfig{}),
 		workers:  make(map[string]*standin.Upstream),
 		placed:   make(map[string]placed),
+		stops:    make(map[string]*http.Server),
 		hosts:    make(map[string]*Host),
 	}
 	f.network = newNetwork(f.plan.delay)
@@ -173,7 +175,9 @@
 	worker := standin.NewUpstream(standin.UpstreamConfig{ID: w.ID, Slots: w.Slots, Time: s.Time, WarmStart: f.options.WarmStart})
 	f.workers[w.ID] = worker
 	f.placed[w.ID] = placed{service: s.Name, hall: w.Hall}
-	return f.serve(w.Address, &http.Server{Handler: worker.Handler(), ConnState: worker.ConnState})
+	server := &http.Server{Handler: worker.Handler(), ConnState: worker.ConnState}
+	f.stops[w.ID] = server
+	return f.serve(w.Address, server)
 }
 
 func (f *Fleet) serve(address string, s *http.Server) error {
@@ -273,6 +277,9 @@
 	}
 }
 
+// KillWorker ends a worker at once, with all its connections.
+func (f *Fleet) KillWorker(id string) { _ = f.stops[id].Close() }
+
 // Network returns the network between the fleet's places.
 func (f *Fleet) Network() *Network { return f.network }
 
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -34,6 +34,7 @@
 	mu     sync.Mutex
 	places map[string]string // place by IP number
 	cuts   map[[2]string]bool
+	bytes  map[[2]string]int64 // passed between two places, in both directions
 	healed chan struct{}
 }
 
@@ -42,6 +43,7 @@
 		delay:  delay,
 		places: make(map[string]string),
 		cuts:   make(map[[2]string]bool),
+		bytes:  make(map[[2]string]int64),
 		healed: make(chan struct{}),
 	}
 }
@@ -67,6 +69,28 @@
 	n.cuts[pair(a, b)] = true
 }
 
+// Isolate cuts a place off from all others.
+func (n *Network) Isolate(place string, others []string) {
+	for _, other := range append(others, PlatformPlace) {
+		if other != place {
+			n.Cut(place, other)
+		}
+	}
+}
+
+// Bytes returns how many bytes have passed between two places.
+func (n *Network) Bytes(a, b string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[pair(a, b)]
+}
+
+func (n *Network) count(a, b string, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[pair(a, b)] += int64(bytes)
+}
+
 // Heal takes all cuts back.
 func (n *Network) Heal() {
 	n.mu.Lock()
--- a/internal/demo/operator.go
+++ b/internal/fleet/operator.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The ryehill Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package demo
+package fleet
 
 import (
 	"bytes"
@@ -14,19 +14,21 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ryehill/ryehill/coordination/intent"
-	"github.com/ryehill/ryehill/internal/fleet"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/transport/operator"
 )
 
-// operatorClient is an operator at one VM.
-type operatorClient struct {
+// Operator is an operator who talks to one VM. It is safe for concurrent use.
+type Operator struct {
 	address string
 }
 
 var operatorHTTP = &http.Client{Timeout: 10 * time.Second}
 
-func (o *operatorClient) call(ctx context.Context, method, path string, in, out any) error {
+// Operator returns an operator at a VM.
+func (f *Fleet) Operator(vm string) *Operator { return &Operator{address: f.hosts[vm].Operator} }
+
+func (o *Operator) call(ctx context.Context, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return err
@@ -35,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+fleet.Token)
+	req.Header.Set("Authorization", "Bearer "+Token)
 	res, err := operatorHTTP.Do(req)
 	if err != nil {
 		return err
@@ -46,27 +48,48 @@
 		return err
 	}
 	if res.StatusCode >= http.StatusBadRequest {
-		return errors.Newf("demo: %s %s: %s", method, path, bytes.TrimSpace(answer))
+		return errors.Newf("fleet: %s %s: %s", method, path, bytes.TrimSpace(answer))
 	}
 	return json.Unmarshal(answer, out)
 }
 
-// carryOut plans and confirms an intent, as soon as the halls have reported.
-func (o *operatorClient) carryOut(ctx context.Context, in intent.Intent) (string, error) {
+// planAgain is how long CarryOut waits after a plan was refused.
+const planAgain = 100 * time.Millisecond
+
+// Move returns a move as the VM knows it, or nil.
+func (o *Operator) Move(ctx context.Context, id string) *spec.Move {
+	s, err := o.Status(ctx)
+	if err != nil {
+		return nil
+	}
+	for i := range s.Moves {
+		if s.Moves[i].ID == id {
+			return &s.Moves[i]
+		}
+	}
+	return nil
+}
+
+// CarryOut plans and confirms an intent, as soon as the halls have reported.
+func (o *Operator) CarryOut(ctx context.Context, in intent.Intent) (string, error) {
 	var plan intent.Plan
 	var err error
-	if !until(ctx, func() bool {
+	for {
 		plan = intent.Plan{}
 		err = o.call(ctx, http.MethodPost, "/v1/plans", intent.Envelope{Intent: in}, &plan)
-		return err == nil
-	}) {
-		return "", err
+		if err == nil {
+			break
+		}
+		if !pause(ctx, planAgain) {
+			return "", err
+		}
 	}
 	var accepted operator.Accepted
 	return plan.ID, o.call(ctx, http.MethodPost, "/v1/plans/"+plan.ID+"/confirm", nil, &accepted)
 }
 
-func (o *operatorClient) apply(ctx context.Context, objects ...spec.Object) (uint64, error) {
+// Apply writes objects and returns the newest version.
+func (o *Operator) Apply(ctx context.Context, objects ...spec.Object) (uint64, error) {
 	var applied operator.Applied
 	if err := o.call(ctx, http.MethodPut, "/v1/config", spec.Set{Objects: objects}, &applied); err != nil {
 		return 0, err
@@ -78,14 +101,15 @@
 	return version, nil
 }
 
-func (o *operatorClient) status(ctx context.Context) (operator.Status, error) {
+// Status returns what the VM knows.
+func (o *Operator) Status(ctx context.Context) (operator.Status, error) {
 	var s operator.Status
 	return s, o.call(ctx, http.MethodGet, "/v1/status", nil, &s)
 }
 
-// describe tells how the moves of an intent stand.
-func (o *operatorClient) describe(ctx context.Context, id string) string {
-	s, err := o.status(ctx)
+// Describe tells how the moves of an intent stand.
+func (o *Operator) Describe(ctx context.Context, id string) string {
+	s, err := o.Status(ctx)
 	if err != nil {
 		return err.Error()
 	}
