quota, steer: reach the share that was asked for, within its cap

Cause: a move of 20 % with a cap of 10 % moved 5.6 % of 10,000 requests. An account holds one request of credit, and arrivals of the share's clients are random, so that half of the credit is wasted while none of them arrives. Ruled out: too few clients in the share (positions are even, see the test). Over any stretch of n requests at a VM a move now takes at most cap x n + 3 in place of + 1; from its start on it still takes no more than floor(cap x n), which is what the cap is defined by.

--- a/coordination/steer/steer.go
+++ b/coordination/steer/steer.go
@@ -50,7 +50,13 @@
 	RuleForeign Rule = "foreign"
 )
 
-const shardCount = 16
+const (
+	shardCount = 16
+	// marginFactor is how far beyond the share clients may fill up what its
+	// own clients leave of the cap. Arrivals are random and an account holds
+	// little, so that without a margin about half of the credit is wasted.
+	marginFactor = 2
+)
 
 // Config sets up a Steerer. Hall is required.
 type Config struct {
@@ -85,6 +91,9 @@
 	move     *spec.Move
 	target   string
 	accounts []*quota.Account
+	// margin is set for a client beyond the share, who is moved only on
+	// credit that would be wasted.
+	margin bool
 }
 
 // Rule returns RuleMove if the request may move, else what keeps it here.
@@ -97,7 +106,12 @@
 func (c Candidate) Target() string { return c.target }
 
 // Spend pays for the move from every cap, or from none.
-func (c Candidate) Spend() bool { return quota.Spend(c.accounts...) }
+func (c Candidate) Spend() bool {
+	if c.margin {
+		return quota.SpendSpare(c.accounts[0], c.accounts[1:]...)
+	}
+	return quota.Spend(c.accounts...)
+}
 
 // Refund takes a payment back after the target refused for certain.
 func (c Candidate) Refund() { quota.Refund(c.accounts...) }
@@ -118,7 +132,8 @@
 	for _, m := range moves {
 		a := s.account("move/"+m.ID, m.Cap)
 		a.Arrive()
-		if chosen.move != nil || share.Position(m.ID, client) >= m.Effective() {
+		position, effective := share.Position(m.ID, client), m.Effective()
+		if chosen.move != nil || position >= min(marginFactor*effective, share.Whole) {
 			continue
 		}
 		chosen = Candidate{
@@ -126,6 +141,7 @@
 			move:     m,
 			target:   target(m, client),
 			accounts: append([]*quota.Account{a}, caps...),
+			margin:   position >= effective,
 		}
 	}
 	return chosen
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,12 +101,20 @@
 }
 
 func generations(f *fleet.Fleet) map[string]uint64 {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
 	found := make(map[string]uint64)
 	for _, vm := range f.VMs() {
-		if s, err := f.Operator(vm).Status(context.Background()); err == nil {
-			found[vm] = s.Generation
-		}
+		wg.Go(func() {
+			s, err := f.Operator(vm).Status(context.Background())
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				found[vm] = s.Generation
+			}
+		})
 	}
+	wg.Wait()
 	return found
 }
 
@@ -136,7 +145,11 @@
 	if g := least(generations(f), hall, true); g >= version {
 		t.Fatalf("generation %d crossed the cut", g)
 	}
+	healed := time.Now()
 	f.Network().Heal()
+	defer func() {
+		t.Logf("in force everywhere %s after the hall joined", time.Since(healed).Round(time.Millisecond))
+	}()
 	until(t, "the change is in force everywhere", func() bool {
 		now := generations(f)
 		for vm, g := range now {
@@ -173,7 +186,9 @@
 	}
 	began := time.Now()
 	until(t, "the change is in force everywhere", func() bool { return least(generations(f), "", false) >= version })
-	if took := time.Since(began); took > 14*time.Second {
+	took := time.Since(began)
+	t.Logf("in force everywhere after %s", took.Round(time.Millisecond))
+	if took > 14*time.Second {
 		t.Errorf("in force after %s, the users ask for 14 s", took)
 	}
 }
@@ -199,7 +214,7 @@
 	r := <-done
 	truthful(t, f, r)
 	s := r.Kinds["read read"]
-	t.Logf("reads: %d sent, %d answered, %d not run, %d unknown, p99 %.0f ms", s.Sent, s.Answered, s.NotRun, s.Unknown, s.P99)
+	t.Logf("reads: %d sent, %d answered, %d not run, %d unknown, p99 %.0f ms, max %.0f ms", s.Sent, s.Answered, s.NotRun, s.Unknown, s.P99, s.Max)
 	if s.Answered < s.Sent*9/10 {
 		t.Errorf("only %d of %d reads were answered: %v", s.Answered, s.Sent, r.Refusals)
 	}
--- a/internal/program/session_test.go
+++ b/internal/program/session_test.go
@@ -87,6 +87,7 @@
 			"same":         cmdSame,
 			"rogue":        cmdRogue,
 			"garbage":      cmdGarbage,
+			"half-upload":  cmdHalfUpload,
 			"answered":     cmdAnswered,
 			"capped":       cmdCapped,
 			"match":        cmdMatch,
@@ -387,6 +388,15 @@
 		"--peer", ip+":7100", "--operator", ip+":7200", "--platform", ip+":9000", "--seeds", "a1="+s.vms["a1"].Peer)
 }
 
+// half-upload VM PATH: announces an upload, sends a part of it and goes away.
+func cmdHalfUpload(ts *testscript.TestScript, _ bool, args []string) {
+	conn, err := net.Dial("tcp", of(ts).vms[args[0]].Entry)
+	ts.Check(err)
+	_, err = fmt.Fprintf(conn, "PUT /v1/run/%s HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n%s", args[1], strings.Repeat("x", 100_000))
+	ts.Check(err)
+	_ = conn.Close()
+}
+
 // garbage VM: sends a peer listener what is no hello, and a hello that is cut off.
 func cmdGarbage(ts *testscript.TestScript, _ bool, args []string) {
 	for _, bytes := range []string{"GET / HTTP/1.1\r\n\r\n", "\xff\xff\xff\xff\xff\x01", "\x05\x0a"} {
--- /dev/null
+++ b/scripts/switch-off.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Copyright 2026 The ryehill Authors
+# SPDX-License-Identifier: Apache-2.0
+#
+# Switches each mechanism off, one at a time, in a scratch copy of the committed
+# tree, and runs the test that must fail without it. Prints one line for each:
+# "caught" if the test failed, "MISSED" if it passed. Exits 1 if any was missed.
+#
+# usage: scripts/switch-off.sh [NAME]
+set -euo pipefail
+top=$(cd "$(dirname "$0")/.." && pwd)
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+git clone -q "$top" "$scratch/tree"
+cd "$scratch/tree"
+missed=0
+
+# off NAME FILE OLD NEW PACKAGE TEST
+off() {
+  local name=$1 file=$2 old=$3 new=$4 package=$5 test=$6
+  if [ -n "${only:-}" ] && [ "$only" != "$name" ]; then return; fi
+  OLD=$old NEW=$new perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or die "not found\n"' "$file"
+  if ! go vet "$package" >/dev/null 2>&1; then
+    echo "BROKEN  $name: the copy does not compile"; missed=1
+  elif timeout 180 go test -count=1 -run "$test" "$package" >/dev/null 2>&1; then
+    echo "MISSED  $name ($test)"; missed=1
+  else
+    echo "caught  $name ($test)"
+  fi
+  git checkout -q -- .
+}
+only=${1:-}
+
+off cap-credit state/quota/quota.go 'if a.credit < price {' 'if a.credit < 0 {' ./state/quota TestCapHolds
+off common-cap coordination/steer/steer.go 'accounts: append([]*quota.Account{a}, caps...),' 'accounts: []*quota.Account{a},' ./coordination/steer TestCommonCapBinds
+off usable-slots coordination/capacity/pool.go 'if p.inUse >= usable || len(p.order) == 0 {' 'if len(p.order) == 0 {' ./coordination/capacity TestNeverMoreThanUsable
+off lending-headroom coordination/capacity/grant.go 'usable - headroom - p.inUse' 'usable - p.inUse' ./coordination/capacity TestNeverMoreThanUsable
+off grant-lapse coordination/capacity/grant.go 'if !now.Before(g.lapses) {' 'if false {' ./coordination/capacity TestGrantLapses
+off holder-looks-at-clock coordination/capacity/wallet.go 'if g.inUse < g.Slots && now.Before(g.Ends) &&' 'if g.inUse < g.Slots &&' ./coordination/capacity TestGrantLapses
+off own-callers-first coordination/capacity/pool.go 'if p.inUse >= usable || len' 'if p.inUse+p.lent() >= usable || len' ./coordination/capacity TestIdleLentSlots
+off link-pacing coordination/link/link.go 'if limiter == nil {' 'if limiter != nil || limiter == nil {' ./internal/fleet TestLinkLimitHolds
+off surplus-answer transport/upstream/exchange.go 'b.exchange.end(keep && b.exchange.conn.reader.Buffered() == 0)' 'b.exchange.end(keep)' ./transport/upstream TestSurplusAnswer
+off unknown-end transport/upstream/exchange.go 'if res.ContentLength < 0 && len' 'if false && len' ./transport/upstream TestBrokenAnswers
+off broken-is-broken transport/entry/entry.go 'panic(http.ErrAbortHandler)
+	}
+	h.refuse' 'return
+	}
+	h.refuse' ./internal/program TestSessions/broken
+off attempt-table state/attempt/attempt.go 'if c, ok := s.records[ticket.nonce]; ok {' 'if c, ok := s.records[ticket.nonce]; ok && false {' ./state/attempt 'TestTicketRuns|TestOnlyOne'
+off start-number state/attempt/attempt.go 'if ticket.start != t.cfg.Start {' 'if false {' ./internal/program TestSessions/once
+off fresh-connection transport/upstream/exchange.go 'c.connect(ctx, w, req.Once)' 'c.connect(ctx, w, false)' ./transport/upstream TestOnceNever
+off no-retry-after-send coordination/retry/retry.go 'case !t.NotRun && !t.Repeatable:' 'case false:' ./internal/program TestSessions/once
+off used-ticket-at-the-door transport/relay/engine.go 'failure = e.refuseTicket(r, failure)' '' ./internal/program TestSessions/stop
+off leaving-sticky coordination/capacity/worker.go 'w.leaving = w.leaving || r.Leaving ||' 'w.leaving = r.Leaving ||' ./internal/program TestSessions/leaving
+off leaving-told coordination/capacity/worker.go 'unsure := w.LeavingStart != 0 &&' 'unsure := false &&' ./coordination/capacity TestTakenOver
+off stop-waits internal/daemon/stop.go 'for d.inFlight() > 0 {' 'for false {' ./internal/program TestSessions/stop
+off never-reverts coordination/spread/spread.go 'known.Version >= o.Version' 'known.Version > o.Version+1<<40' ./coordination/spread TestNeverReverts
+off peers-spread internal/daemon/spread.go 'if p.GetRevision() > revision ||' 'if false ||' ./internal/fleet TestConfigurationReaches
+off read-back transport/platform/client.go 'if err == nil || !errors.Is(err, ErrUnresolved) {' 'if true {' ./internal/program TestSessions/platform
+off plan-edit coordination/intent/apply.go 'if p.Edit != t.Edit {' 'if false {' ./internal/program TestSessions/race
+off write-fence transport/operator/operator.go 'written, err := p.Put(ctx, o, cond, operation)' '_ = cond
+	written, err := p.Put(ctx, o, platform.Always(), operation)' ./internal/program TestSessions/race
+off lease coordination/controller/lease.go 'return l.Holder == "" || now.Sub(o.since) >= LeaseTerm' 'return l.Holder == ""' ./internal/program TestSessions/freeze
+off refute coordination/membership/membership.go 't.self.Incarnation = m.Incarnation + 1' '' ./coordination/membership 'TestCutHall|TestFrozen'
+off controller-headroom coordination/controller/controller.go 'case free < least:' 'case false:' ./coordination/controller TestRules
+off controller-stale coordination/controller/controller.go 'if !ok || source.Age(f.Now) > intent.FreshStatus {' 'if !ok {' ./coordination/controller TestRules
+exit $missed
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -5,7 +5,7 @@
 //
 // An account gains the cap's fraction for every request that arrives and pays
 // one whole request for every request that is moved. It starts empty and never
-// holds more than one request and a fraction. From this follow two facts that
+// holds more than Burst requests and a fraction. From this follow two facts that
 // hold at each VM with no message to any other, and so for the sum of any set
 // of VMs, whatever of them is paused, cut off or restarted:
 //
@@ -27,7 +27,7 @@
 
 // Burst is how many requests an account can move back to back after a quiet
 // time, beyond its cap's fraction of those that arrive meanwhile.
-const Burst = 1
+const Burst = 3
 
 const price = uint64(share.Whole)
 
@@ -88,6 +88,14 @@
 	return true
 }
 
+// spare reports whether the account is nearly full, so that credit would soon be
+// wasted: it holds more than all but one of the requests that it can hold.
+func (a *Account) spare() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.credit > price*(Burst-1)
+}
+
 func (a *Account) giveBack() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -110,6 +118,12 @@
 	return true
 }
 
+// SpendSpare is like Spend, but pays only if the first account is nearly full. It is for requests that may fill up a share without
+// taking credit from those that belong to it.
+func SpendSpare(first *Account, others ...*Account) bool {
+	return first.spare() && Spend(append([]*Account{first}, others...)...)
+}
+
 // Refund returns the price of a request that was paid for but, as is known for
 // certain, was not moved.
 func Refund(accounts ...*Account) {
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -4,6 +4,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -37,6 +38,10 @@
 	Leaving    []string          `json:"leaving"`
 }
 
+// statusPatience is how long a status waits for the platform: an operator who
+// asks while it is away wants to see what the VM itself knows.
+const statusPatience = time.Second
+
 // MemberStatus is one known VM.
 type MemberStatus struct {
 	VM    string `json:"vm"`
@@ -56,7 +61,9 @@
 	for _, m := range a.cfg.Members.All() {
 		s.Members = append(s.Members, MemberStatus{VM: m.ID, Hall: m.Hall, State: m.State.String()})
 	}
-	halls, err := ReadHalls(r.Context(), a.cfg.Platform)
+	ctx, cancel := context.WithTimeout(r.Context(), statusPatience)
+	defer cancel()
+	halls, err := ReadHalls(ctx, a.cfg.Platform)
 	if err != nil {
 		s.Platform = "away: " + err.Error()
 	}
