capacity: name the holder of grants plainly; peer: prove mutual TLS

Cause: Wallet and pouch were metaphors of ours; TLS was built and never driven. Change: Holder and holding; tests of the hello, of mutual TLS with a foreign authority and without TLS, and of certificates that are renewed in place.

--- a/coordination/capacity/capacity_test.go
+++ b/coordination/capacity/capacity_test.go
@@ -115,9 +115,9 @@
 }
 
 func TestGrantLapsesLaterAtTheLender(t *testing.T) {
-	Convey("Given a grant in a wallet", t, func() {
+	Convey("Given a grant that a VM holds", t, func() {
 		p, clock := newPool(2, 5)
-		w := capacity.NewWallet(clock.Now)
+		w := capacity.NewHolder(clock.Now)
 		source := capacity.Source{Service: "lookup", Hall: "b"}
 		asked := clock.Now()
 		clock.Advance(100 * time.Millisecond) // The way there.
--- a/coordination/capacity/wallet.go
+++ b/coordination/capacity/holder.go
@@ -32,15 +32,15 @@
 	Ends time.Time
 }
 
-// Wallet keeps the grants that a VM holds and how much it wants.
+// Holder keeps the grants that one VM holds, and how many slots it wants.
 // It is safe for concurrent use.
-type Wallet struct {
-	now     func() time.Time
-	mu      sync.Mutex
-	pouches map[Source]*pouch
+type Holder struct {
+	now      func() time.Time
+	mu       sync.Mutex
+	holdings map[Source]*holding
 }
 
-type pouch struct {
+type holding struct {
 	grants  []*held
 	inUse   int
 	demand  int // the most wanted at once since the last renewal
@@ -55,25 +55,25 @@
 
 // Use is one request that goes out under a grant.
 type Use struct {
-	wallet *Wallet
-	pouch  *pouch
-	held   *held
-	grant  Held
-	once   sync.Once
+	holder  *Holder
+	holding *holding
+	held    *held
+	grant   Held
+	once    sync.Once
 }
 
-// NewWallet returns an empty wallet. The clock must not run backwards.
-func NewWallet(now func() time.Time) *Wallet {
-	return &Wallet{now: now, pouches: make(map[Source]*pouch)}
+// NewHolder returns a Holder without grants. The clock must not run backwards.
+func NewHolder(now func() time.Time) *Holder {
+	return &Holder{now: now, holdings: make(map[Source]*holding)}
 }
 
 // Take uses one slot of a grant that is still good. It returns nil if there is
 // none, and remembers that one was wanted.
-func (w *Wallet) Take(s Source) *Use {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.pouch(s)
-	now := w.now()
+func (h *Holder) Take(s Source) *Use {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.holding(s)
+	now := h.now()
 	var best *held
 	for _, g := range p.grants {
 		if g.inUse < g.Slots && now.Before(g.Ends) && (best == nil || g.Slots-g.inUse > best.Slots-best.inUse) {
@@ -88,28 +88,28 @@
 	best.inUse++
 	p.inUse++
 	p.demand = max(p.demand, p.inUse)
-	return &Use{wallet: w, pouch: p, held: best, grant: best.Held}
+	return &Use{holder: h, holding: p, held: best, grant: best.Held}
 }
 
 // Put adds a grant, or replaces the earlier one of the same lender and id.
-func (w *Wallet) Put(s Source, h Held) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.pouch(s)
+func (h *Holder) Put(s Source, grant Held) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.holding(s)
 	for _, g := range p.grants {
-		if g.Lender == h.Lender && g.ID == h.ID {
-			g.Held = h
+		if g.Lender == grant.Lender && g.ID == grant.ID {
+			g.Held = grant
 			return
 		}
 	}
-	p.grants = append(p.grants, &held{Held: h})
+	p.grants = append(p.grants, &held{Held: grant})
 }
 
 // Drop forgets the grants of a lender that refused one of them.
-func (w *Wallet) Drop(s Source, lender string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.pouch(s)
+func (h *Holder) Drop(s Source, lender string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.holding(s)
 	for _, g := range p.grants {
 		if g.Lender == lender {
 			g.Ends = time.Time{}
@@ -119,11 +119,11 @@
 
 // Want returns how many slots to ask for at a renewal and begins a new period.
 // It returns 0 if there was no demand for some periods.
-func (w *Wallet) Want(s Source) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.pouch(s)
-	now := w.now()
+func (h *Holder) Want(s Source) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.holding(s)
+	now := h.now()
 	kept := p.grants[:0]
 	for _, g := range p.grants {
 		if g.inUse > 0 || now.Before(g.Ends) {
@@ -146,23 +146,23 @@
 }
 
 // Sources returns where slots are borrowed or were wanted of late.
-func (w *Wallet) Sources() []Source {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	sources := make([]Source, 0, len(w.pouches))
-	for s := range w.pouches {
+func (h *Holder) Sources() []Source {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sources := make([]Source, 0, len(h.holdings))
+	for s := range h.holdings {
 		sources = append(sources, s)
 	}
 	return sources
 }
 
 // Good returns how many slots of a source could be used now.
-func (w *Wallet) Good(s Source) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	now := w.now()
+func (h *Holder) Good(s Source) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
 	total := 0
-	for _, g := range w.pouch(s).grants {
+	for _, g := range h.holding(s).grants {
 		if now.Before(g.Ends) {
 			total += max(0, g.Slots-g.inUse)
 		}
@@ -172,21 +172,21 @@
 
 // Forget drops sources that have seen no demand for some periods, but for those
 // that keep holds.
-func (w *Wallet) Forget(keep map[Source]bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for s, p := range w.pouches {
+func (h *Holder) Forget(keep map[Source]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s, p := range h.holdings {
 		if !keep[s] && p.inUse == 0 && p.idle > idlePeriods {
-			delete(w.pouches, s)
+			delete(h.holdings, s)
 		}
 	}
 }
 
-func (w *Wallet) pouch(s Source) *pouch {
-	p, ok := w.pouches[s]
+func (h *Holder) holding(s Source) *holding {
+	p, ok := h.holdings[s]
 	if !ok {
-		p = &pouch{}
-		w.pouches[s] = p
+		p = &holding{}
+		h.holdings[s] = p
 	}
 	return p
 }
@@ -197,9 +197,9 @@
 // Done ends the use. Only the first call counts.
 func (u *Use) Done() {
 	u.once.Do(func() {
-		u.wallet.mu.Lock()
-		defer u.wallet.mu.Unlock()
+		u.holder.mu.Lock()
+		defer u.holder.mu.Unlock()
 		u.held.inUse--
-		u.pouch.inUse--
+		u.holding.inUse--
 	})
 }
--- a/coordination/capacity/pool.go
+++ b/coordination/capacity/pool.go
@@ -19,7 +19,7 @@
 // request at home. What is usable shrinks when a worker leaves, starts cold,
 // falls silent or reports work that the pool did not send.
 //
-// A Wallet is the other side: the grants that a VM holds.
+// A Holder is the other side: the grants that a VM holds.
 //
 // # Usage
 //
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,7 @@
 	members   *membership.Table
 	steerer   *steer.Steerer
 	pools     *capacity.Pools
-	wallet    *capacity.Wallet
+	holder    *capacity.Holder
 	links     *link.Budget
 	attempts  *attempt.Table
 	decisions *decision.Log
@@ -104,7 +104,7 @@
 		store:     spread.New(),
 		steerer:   steer.New(steer.Config{Hall: cfg.Hall}),
 		pools:     capacity.NewPools(capacity.Config{Now: now, Choice: cfg.Choice, LeastHeadroom: spec.DefaultLeastHeadroom}),
-		wallet:    capacity.NewWallet(now),
+		holder:    capacity.NewHolder(now),
 		links:     link.New(link.Config{Now: now}),
 		decisions: decision.New(decision.Config{}),
 		meter:     load.NewMeter(now),
@@ -195,7 +195,7 @@
 	d.peers = peer.New(peerConfig)
 	d.engine = relay.New(relay.Config{
 		Self: d.self, Log: d.log, View: d.view.Load, Members: d.members, Steerer: d.steerer, Pools: d.pools,
-		Wallet: d.wallet, Links: d.links, Upstreams: d.upstreams, Peers: d.peers, Attempts: d.attempts,
+		Holder: d.holder, Links: d.links, Upstreams: d.upstreams, Peers: d.peers, Attempts: d.attempts,
 		Decisions: d.decisions, Meter: d.meter, Metrics: d.metrics, Budget: retry.New(d.cfg.Retry),
 		Neighbors: d.neighbors, Owners: d.owners, QueueTime: d.cfg.QueueTime, MaxInFlight: d.cfg.MaxInFlight,
 		NoSpill: d.cfg.NoSpill,
--- a/internal/daemon/grants.go
+++ b/internal/daemon/grants.go
@@ -33,19 +33,19 @@
 	for s := range keep {
 		d.want(wanted, s)
 	}
-	for _, s := range d.wallet.Sources() {
+	for _, s := range d.holder.Sources() {
 		if !keep[s] {
 			d.want(wanted, s)
 		}
 	}
-	d.wallet.Forget(keep)
+	d.holder.Forget(keep)
 	for hall, slots := range wanted {
 		d.borrow(ctx, hall, slots)
 	}
 }
 
 func (d *Daemon) want(wanted map[string]map[string]uint32, s capacity.Source) {
-	n := d.wallet.Want(s)
+	n := d.holder.Want(s)
 	if n == 0 {
 		return
 	}
@@ -106,7 +106,7 @@
 		if g.GetSlots() == 0 || slots[service] == 0 {
 			continue
 		}
-		d.wallet.Put(capacity.Source{Service: service, Hall: hall}, capacity.Held{
+		d.holder.Put(capacity.Source{Service: service, Hall: hall}, capacity.Held{
 			Lender: vm, ID: g.GetId(), Slots: int(g.GetSlots()),
 			Ends: asked.Add(time.Duration(g.GetTermMillis()) * time.Millisecond),
 		})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,7 +26,7 @@
 	retries   *prometheus.CounterVec
 	routed    *prometheus.CounterVec
 	tries     *prometheus.CounterVec
-	hello     *prometheus.CounterVec
+	peerCalls *prometheus.CounterVec
 	steps     *prometheus.CounterVec
 	platform  *prometheus.CounterVec
 	duration  *prometheus.HistogramVec
@@ -42,14 +42,14 @@
 func New() *Set {
 	r := prometheus.NewRegistry()
 	s := &Set{
-		registry: r,
-		refused:  counter(r, "refused_total", "Requests that ryehill refused, by reason.", "reason"),
-		retries:  counter(r, "retries_total", "Questions for another try, by cause and verdict.", "cause", "verdict"),
-		routed:   counter(r, "routed_total", "Requests by service and the rule that decided where they ran.", "service", "rule"),
-		tries:    counter(r, "upstream_tries_total", "Tries at upstreams by result.", "result"),
-		hello:    counter(r, "peer_calls_total", "Calls to peers by message and result.", "message", "result"),
-		steps:    counter(r, "controller_actions_total", "Changes of moves by the controller, by rule.", "rule"),
-		platform: counter(r, "platform_calls_total", "Calls to the platform by call and result.", "call", "result"),
+		registry:  r,
+		refused:   counter(r, "refused_total", "Requests that ryehill refused, by reason.", "reason"),
+		retries:   counter(r, "retries_total", "Questions for another try, by cause and verdict.", "cause", "verdict"),
+		routed:    counter(r, "routed_total", "Requests by service and the rule that decided where they ran.", "service", "rule"),
+		tries:     counter(r, "upstream_tries_total", "Tries at upstreams by result.", "result"),
+		peerCalls: counter(r, "peer_calls_total", "Calls to peers by message and result.", "message", "result"),
+		steps:     counter(r, "controller_actions_total", "Changes of moves by the controller, by rule.", "rule"),
+		platform:  counter(r, "platform_calls_total", "Calls to the platform by call and result.", "call", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "ryehill", Name: "request_seconds",
 			Help:    "Time from a request's arrival to the end of its answer.",
@@ -99,7 +99,7 @@
 
 // PeerCall counts a call to a peer.
 func (s *Set) PeerCall(message string, err error) {
-	s.hello.WithLabelValues(message, result(err)).Inc()
+	s.peerCalls.WithLabelValues(message, result(err)).Inc()
 }
 
 // PlatformCall counts a call to the platform.
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -45,7 +45,7 @@
 off usable-slots coordination/capacity/pool.go 'if p.inUse >= usable || len(p.order) == 0 {' 'if len(p.order) == 0 {' ./coordination/capacity TestNeverMoreThanUsable
 off lending-headroom coordination/capacity/grant.go 'usable - headroom - p.inUse' 'usable - 0*headroom - p.inUse' ./coordination/capacity TestNeverMoreThanUsable
 off grant-lapse coordination/capacity/grant.go 'if !now.Before(g.lapses) {' 'if false && !now.Before(g.lapses) {' ./coordination/capacity TestGrantLapses
-off holder-looks-at-clock coordination/capacity/wallet.go 'if g.inUse < g.Slots && now.Before(g.Ends) &&' 'if g.inUse < g.Slots && now.Before(now.Add(1)) &&' ./coordination/capacity TestGrantLapses
+off holder-looks-at-clock coordination/capacity/holder.go 'if g.inUse < g.Slots && now.Before(g.Ends) &&' 'if g.inUse < g.Slots && now.Before(now.Add(1)) &&' ./coordination/capacity TestGrantLapses
 off own-callers-first coordination/capacity/pool.go 'if p.inUse >= usable || len' 'if p.inUse+p.lent() >= usable || len' ./coordination/capacity TestIdleLentSlots
 off link-pacing coordination/link/link.go 'if limiter == nil {' 'if limiter != nil || limiter == nil {' ./internal/fleet TestLinkLimitHolds
 off surplus-answer transport/upstream/exchange.go 'b.exchange.end(keep && b.exchange.conn.reader.Buffered() == 0)' 'b.exchange.end(keep)' ./transport/upstream TestSurplusAnswer transport/upstream/conn.go 'return !c.spoilt' 'return true'
--- /dev/null
+++ b/transport/peer/peer_test.go
@@ -0,0 +1,212 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/ryehill/ryehill/internal/tlsfiles"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers a Find with a Found that holds the id.
+func echo(_ context.Context, _ peer.Identity, s *peer.Stream, first *peerpb.Envelope) {
+	_ = s.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Found{Found: &peerpb.Found{Record: []byte(first.GetFind().GetId())}}})
+}
+
+// start runs a manager as a VM, with TLS from files if set, and returns it with
+// its address.
+func start(t *testing.T, vm, fleet string, files tlsfiles.Files) (*peer.Manager, string) {
+	t.Helper()
+	cfg := peer.Config{Self: peer.Identity{Fleet: fleet, Hall: "a", VM: vm, Start: 1}, Handler: echo}
+	if files.Set() {
+		reloader, err := tlsfiles.New(files)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.ServerTLS, cfg.ClientTLS = reloader.Server(true), reloader.PeerClient()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := peer.New(cfg)
+	done := make(chan error, 1)
+	go func() { done <- m.Serve(l) }()
+	t.Cleanup(func() {
+		_ = l.Close()
+		m.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return m, l.Addr().String()
+}
+
+func call(m *peer.Manager, vm, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := m.Call(ctx, peer.Target{VM: vm, Address: address}, &peerpb.Envelope{Kind: &peerpb.Envelope_Find{Find: &peerpb.Find{Id: "d1"}}})
+	return string(reply.GetFound().GetRecord()), err
+}
+
+func TestHello(t *testing.T) {
+	cases := map[string]struct {
+		fleet, meant string
+		ok           bool
+	}{
+		"the VM that was meant": {"f", "b1", true},
+		"another VM":            {"f", "b2", false},
+		"another fleet":         {"g", "b1", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, _ := start(t, "a1", "f", tlsfiles.Files{})
+			_, address := start(t, "b1", c.fleet, tlsfiles.Files{})
+			got, err := call(a, c.meant, address)
+			if c.ok != (err == nil && got == "d1") {
+				t.Fatalf("%q, %v", got, err)
+			}
+			if err != nil && !errors.Is(err, peer.ErrUnreachable) {
+				t.Fatalf("%v does not say that nothing was sent", err)
+			}
+		})
+	}
+}
+
+// authority signs certificates for a test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T, name string) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.key = a.newKey()
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.cert, err = x509.ParseCertificate(raw); err != nil {
+		t.Fatal(err)
+	}
+	a.write("ca.pem", "CERTIFICATE", raw)
+	return a
+}
+
+func (a *authority) newKey() *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return key
+}
+
+func (a *authority) write(name, kind string, raw []byte) string {
+	path := filepath.Join(a.dir, name)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return path
+}
+
+// issue writes a certificate and its key over those of the same name.
+func (a *authority) issue(name string) tlsfiles.Files {
+	key := a.newKey()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageDigitalSignature,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return tlsfiles.Files{
+		Cert: a.write(name+".pem", "CERTIFICATE", raw), Key: a.write(name+".key", "EC PRIVATE KEY", private),
+		CA: filepath.Join(a.dir, "ca.pem"),
+	}
+}
+
+// Only VMs whose certificate the fleet's authority signed talk to each other.
+func TestMutualTLS(t *testing.T) {
+	own, other := newAuthority(t, "own"), newAuthority(t, "other")
+	_, address := start(t, "b1", "f", own.issue("b1"))
+	cases := map[string]struct {
+		files tlsfiles.Files
+		ok    bool
+	}{
+		"signed by the fleet's": {own.issue("a1"), true},
+		"signed by another's":   {other.issue("a1"), false},
+		"no TLS at all":         {tlsfiles.Files{}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, _ := start(t, "a1", "f", c.files)
+			if got, err := call(a, "b1", address); c.ok != (err == nil && got == "d1") {
+				t.Fatalf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+// A certificate that is written anew is used without a restart; one that cannot
+// be read leaves the former in force.
+func TestCertificatesAreReadAgain(t *testing.T) {
+	old, renewed := newAuthority(t, "old"), newAuthority(t, "renewed")
+	files := old.issue("b1")
+	_, address := start(t, "b1", "f", files)
+	if err := os.WriteFile(files.Key, []byte("half written"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a, _ := start(t, "a1", "f", old.issue("a1"))
+	if _, err := call(a, "b1", address); err != nil {
+		t.Fatal(err)
+	}
+	next := renewed.issue("b1")
+	for from, to := range map[string]string{next.Cert: files.Cert, next.Key: files.Key, next.CA: files.CA} {
+		if err := os.Rename(from, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, _ := start(t, "c1", "f", tlsfiles.Files{Cert: files.Cert, Key: files.Key, CA: files.CA})
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		if _, err := call(c, "b1", address); err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the new certificate is not used")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/transport/relay/engine.go
+++ b/transport/relay/engine.go
@@ -50,7 +50,7 @@
 	Members   *membership.Table
 	Steerer   *steer.Steerer
 	Pools     *capacity.Pools
-	Wallet    *capacity.Wallet
+	Holder    *capacity.Holder
 	Links     *link.Budget
 	Upstreams *upstream.Client
 	Peers     *peer.Manager
--- a/transport/relay/route.go
+++ b/transport/relay/route.go
@@ -57,7 +57,7 @@
 		decision.Input{Name: "move " + c.Move().ID, Value: fmt.Sprintf("share %s, cap %s", c.Move().Share, c.Move().Cap)},
 		decision.Input{Name: "counted at this VM", Value: fmt.Sprintf("%d requests, %d moved", total, moved)},
 	)
-	use := e.cfg.Wallet.Take(capacity.Source{Service: r.Service, Hall: c.Target()})
+	use := e.cfg.Holder.Take(capacity.Source{Service: r.Service, Hall: c.Target()})
 	switch {
 	case use == nil:
 		rule = steer.RuleNoGrant
@@ -81,7 +81,7 @@
 // slot that was wanted in vain is asked for at the next renewal of grants.
 func (e *Engine) failover(r *Request, d *decision.Record) (route, bool) {
 	for _, hall := range e.cfg.View().Nearest(e.cfg.Self.Hall, r.Service) {
-		use := e.cfg.Wallet.Take(capacity.Source{Service: r.Service, Hall: hall})
+		use := e.cfg.Holder.Take(capacity.Source{Service: r.Service, Hall: hall})
 		if use == nil {
 			continue
 		}
