daemon: be ready only once the VM list is known

Ruled out: the ticket and the named VM, which answered at once when asked. Change: readiness waits for the list, from the platform or a peer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,6 +240,9 @@
 		return errors.Newf("the daemon is %s", d.life.Current())
 	case len(d.view.Load().Fleet().Halls) == 0:
 		return errors.New("no configuration has been heard yet")
+	case d.store.VMs().Version == 0:
+		// It could not pass a ticket on to the VM that it names.
+		return errors.New("no list of VMs has been heard yet")
 	}
 	return nil
 }
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -16,7 +16,7 @@
 missed=0
 
 # A test that fails anyway would count as caught.
-go test -count=1 ./... >/dev/null || { echo "the committed tree is not green"; exit 1; }
+go test -count=1 -p 1 ./... >/dev/null || { echo "the committed tree is not green"; exit 1; }
 
 change() {
   OLD=$2 NEW=$3 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or die "not found\n"' "$1"
