--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -75,6 +75,6 @@
 	written, err := p.Put(ctx, o, platform.Always(), operation)' ./internal/program TestSessions/race
 off lease coordination/controller/lease.go 'return l.Holder == "" || now.Sub(o.since) >= LeaseTerm' 'return l.Holder == ""' ./internal/program TestSessions/freeze
 off refute coordination/membership/membership.go 't.self.Incarnation = m.Incarnation + 1' '' ./coordination/membership 'TestCutHall|TestFrozen'
-off controller-headroom coordination/controller/controller.go 'case free < least:' 'case false:' ./coordination/controller TestRules
+off controller-back coordination/controller/controller.go 'case free < least/2 && m.Share > 0 || s.Usable == 0:' 'case false:' ./coordination/controller TestRules
 off controller-stale coordination/controller/controller.go 'if !ok || source.Age(f.Now) > intent.FreshStatus {' 'if !ok {' ./coordination/controller TestRules
 exit $missed
