--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -212,7 +212,7 @@
 	truthful(t, f, r)
 	s := r.Kinds["read read"]
 	t.Logf("reads: %d sent, %d answered, %d not run, %d unknown, p99 %.0f ms, max %.0f ms", s.Sent, s.Answered, s.NotRun, s.Unknown, s.P99, s.Max)
-	if s.Answered < s.Sent*8/10 {
+	if s.Answered < s.Sent*9/10 {
 		t.Errorf("only %d of %d reads were answered: %v", s.Answered, s.Sent, r.Refusals)
 	}
 }
@@ -280,7 +280,7 @@
 	mineReport := <-own
 	mine := mineReport.Kinds["read read"]
 	t.Logf("the receiver's own: %d sent, %d answered, p99 %.0f ms", mine.Sent, mine.Answered, mine.P99)
-	if mine.Answered < mine.Sent*95/100 {
+	if mine.Answered < mine.Sent*99/100 {
 		t.Errorf("only %d of %d reads of the receiver's own clients were answered: %v", mine.Answered, mine.Sent, mineReport.Refusals)
 	}
 }
@@ -309,7 +309,7 @@
 	if ranIn(f, to, from, "read") == 0 {
 		t.Error("nothing was moved at all")
 	}
-	if s := r.Kinds["read read"]; s.Answered < s.Sent*8/10 {
+	if s := r.Kinds["read read"]; s.Answered < s.Sent*95/100 {
 		t.Errorf("only %d of %d reads were answered: %v", s.Answered, s.Sent, r.Refusals)
 	}
 }
@@ -326,7 +326,7 @@
 	until(t, "reads are answered", func() bool { return client.Read(context.Background(), "read", 10).Told == loadgen.ToldAnswer })
 	r := loadgen.Run(context.Background(), load(f, 0, 2*time.Second, reads(40)))
 	truthful(t, f, r)
-	if s := r.Kinds["read read"]; s.Answered < s.Sent*8/10 {
+	if s := r.Kinds["read read"]; s.Answered < s.Sent*95/100 {
 		t.Errorf("only %d of %d reads were answered: %v", s.Answered, s.Sent, r.Refusals)
 	}
 }
