relay, entry: never call a used ticket's request not run, however it is asked

Cause: a request that could not be read (a malformed header, a body that broke off) was refused as not run before its ticket was looked at, also when its first use had run or might have. Change: such refusals go through the same check as those of a full or stopping VM: the ticket is used up, or its first use decides what is said.

--- a/transport/entry/entry.go
+++ b/transport/entry/entry.go
@@ -135,7 +135,7 @@
 	_ = control.EnableFullDuplex()
 	req, failure := h.request(r, control)
 	if failure != nil {
-		outcome.Write(w, failure)
+		outcome.Write(w, h.cfg.Engine.Refuse(r.Header.Get(outcome.HeaderTicket), failure))
 		return
 	}
 	sink := &sink{w: w, control: control}
--- a/transport/relay/once.go
+++ b/transport/relay/once.go
@@ -52,6 +52,12 @@
 	return outcome.New(outcome.CodeAttemptUnknown, outcome.Unknown, "claim ticket", "", err)
 }
 
+// Refuse turns the refusal of a request that could not even be read into what
+// may be said of its ticket, which may be empty; see refuseTicket.
+func (e *Engine) Refuse(ticket string, refusal *outcome.Failure) *outcome.Failure {
+	return e.refuseTicket(&Request{Ticket: ticket}, refusal)
+}
+
 // refuseTicket makes sure that "not run" stays true for a request that is
 // refused at the door: its ticket is used up, so that no copy of the request
 // that comes later can run. If it was used before, that use decides what is
--- a/transport/relay/serve.go
+++ b/transport/relay/serve.go
@@ -33,10 +33,11 @@
 	defer cancel()
 	r, err := parseOpen(open)
 	if err != nil {
-		refuse(s, outcome.New(outcome.CodeBadRequest, outcome.NotRun, "parse request", e.cfg.Self.VM, err))
+		failure := outcome.New(outcome.CodeBadRequest, outcome.NotRun, "parse request", e.cfg.Self.VM, err)
+		refuse(s, e.Refuse(fromHeaders(open.GetHeaders()).Get(outcome.HeaderTicket), failure))
 		return
 	}
-	body := newStreamBody(ctx, s, cancel)
+	body := newStreamBody(s, cancel)
 	defer body.stop()
 	if open.GetOwn() {
 		e.serveOwn(ctx, r, s, body, open)
@@ -70,7 +71,8 @@
 	var err error
 	r.Body, err = NewBody(body, open.GetLength())
 	if err != nil {
-		refuse(s, outcome.New(outcome.CodeBroken, outcome.NotRun, "read body", e.cfg.Self.VM, err))
+		failure := outcome.New(outcome.CodeBroken, outcome.NotRun, "read body", e.cfg.Self.VM, err)
+		refuse(s, e.Refuse(r.Header.Get(outcome.HeaderTicket), failure))
 		return
 	}
 	r.Ticket = r.Header.Get(outcome.HeaderTicket)
@@ -216,7 +218,7 @@
 	began  bool
 }
 
-func newStreamBody(_ context.Context, s *peer.Stream, cancel context.CancelFunc) *streamBody {
+func newStreamBody(s *peer.Stream, cancel context.CancelFunc) *streamBody {
 	r, w := io.Pipe()
 	return &streamBody{stream: s, cancel: cancel, reader: r, writer: w, done: make(chan struct{})}
 }
