--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -87,6 +87,9 @@
 // Config sets up a Table. Self and Now are required.
 type Config struct {
 	Self Member
+	// AcrossHalls puts the VMs of all halls on one ring, so that every VM may
+	// be probed by any other. It is for fleets whose halls hold few VMs each.
+	AcrossHalls bool
 	// Now is the clock, which must not run backwards.
 	Now func() time.Time
 }
@@ -297,7 +300,7 @@
 		probes = append(probes, fingers[t.next%len(fingers)].Member)
 	}
 	for id, r := range t.members {
-		if r.Hall == t.self.Hall && r.State == StateGone && t.listed[id] && now.Sub(r.probed) >= RetryGone {
+		if t.probes(r) && r.State == StateGone && t.listed[id] && now.Sub(r.probed) >= RetryGone {
 			r.probed = now
 			probes = append(probes, r.Member)
 			break
@@ -306,12 +309,30 @@
 	return probes
 }
 
-// fingers returns the members of the own hall at distances 1, 2, 4, ... on the
+// probes reports whether this VM's ring holds a member.
+func (t *Table) probes(r *record) bool { return t.cfg.AcrossHalls || r.Hall == t.self.Hall }
+
+// Listed returns the VMs that the platform's list names, in no order.
+func (t *Table) Listed() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make([]Member, 0, len(t.listed))
+	for id := range t.listed {
+		if id == t.self.ID {
+			listed = append(listed, t.self)
+		} else if r, ok := t.members[id]; ok {
+			listed = append(listed, r.Member)
+		}
+	}
+	return listed
+}
+
+// fingers returns the members of the ring at distances 1, 2, 4, ... on the
 // ring. A leaving VM is no finger: it tells by itself when it has ended.
 func (t *Table) fingers() []*record {
 	ring := make([]*record, 0, len(t.members))
 	for _, r := range t.members {
-		if r.Hall == t.self.Hall && r.State <= StateSuspect {
+		if t.probes(r) && r.State <= StateSuspect {
 			ring = append(ring, r)
 		}
 	}
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,224 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package placement decides which worker gets a request.
+//
+// Requests with one key go to the same few workers, found by rendezvous
+// hashing, since a worker that has seen a key lately answers much faster. Of
+// these few the least busy one is taken; if none has room the request is
+// refused at once, for a queue or a spread over all workers would make every
+// worker slow (docs/design/platform.md has the figures). A region that holds
+// less than its share of a service's slots gives a stable part of the keys to
+// those that hold more.
+//
+// The package does no I/O and sends nothing; every VM decides alone, from the
+// same configuration.
+//
+// # Usage
+//
+//	placer := placement.New(placement.Config{Region: "north", Loads: loads, Cold: cold, Now: time.Now})
+//	choice, refusal := placer.Place(snapshot, placement.Request{Service: "lookup", Key: 17, Keyed: true})
+//	if refusal == placement.RefusalNone { defer choice.Load().End() }
+package placement
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+// holders is how many workers hold each key: with one, a busy or lost worker
+// makes its keys cold; with three, keys spread too thin to stay warm.
+const holders = 2
+
+// Refusal says why no worker was found.
+type Refusal string
+
+// Refusals. RefusalNone is none.
+const (
+	RefusalNone Refusal = ""
+	// RefusalNoWorker means that no worker may get the request at all.
+	RefusalNoWorker Refusal = "no-worker"
+	// RefusalBusy means that the workers which hold its key have no room.
+	RefusalBusy Refusal = "busy"
+	// RefusalCold means that only cold workers are left and their rate is
+	// used up.
+	RefusalCold Refusal = "cold"
+)
+
+// Snapshot is what is believed at one moment. It is never changed once made.
+type Snapshot struct {
+	Routes  *route.Table
+	Workers *worker.Set
+	// Closed are the halls whose workers must get nothing.
+	Closed map[string]bool
+	// WarmAt is until when the workers of a hall are taken as cold, whatever
+	// their own entries say.
+	WarmAt map[string]time.Time
+	// Regions are all regions of the fleet, in order of their names.
+	Regions []string
+}
+
+// Request is what a placement rests on.
+type Request struct {
+	Service string
+	// Key is a hash of the request's affinity key, if Keyed is set.
+	Key   uint64
+	Keyed bool
+	// Priority is the rank of the request, and Lowest the lowest one of any
+	// route to the service; 0 goes first.
+	Priority, Lowest int
+	// Allows reports whether the request may run in a region. Nil is all.
+	Allows func(region string) bool
+	// Tried are the ids of workers that the request was sent to before.
+	Tried []string
+}
+
+// Choice is a worker that was chosen. Its load has been counted.
+type Choice struct {
+	worker worker.Worker
+	load   *worker.Load
+	remote bool
+}
+
+// Worker returns the chosen worker.
+func (c Choice) Worker() worker.Worker { return c.worker }
+
+// Load returns the worker's load, which the caller ends.
+func (c Choice) Load() *worker.Load { return c.load }
+
+// Remote reports whether the worker is in another region.
+func (c Choice) Remote() bool { return c.remote }
+
+// Config sets up a Placer. All fields are required.
+type Config struct {
+	// Region is that of this VM.
+	Region string
+	Loads  *worker.Loads
+	Cold   *Cold
+	Now    func() time.Time
+}
+
+// Placer chooses workers. It is safe for concurrent use.
+type Placer struct{ cfg Config }
+
+// New returns a placer.
+func New(cfg Config) *Placer { return &Placer{cfg: cfg} }
+
+// Place chooses a worker for a request and counts it, or says why there is
+// none.
+func (p *Placer) Place(s *Snapshot, r Request) (Choice, Refusal) {
+	if !r.Keyed {
+		r.Key = rand.Uint64()
+	}
+	eligible := p.eligible(s, r)
+	if len(eligible) == 0 {
+		return Choice{}, RefusalNoWorker
+	}
+	region := shareOut(p.cfg.Region, s.Regions, eligible, r)
+	return p.choose(s, r, eligible, region)
+}
+
+// eligible returns the workers that may get the request. Paused ones are left
+// out unless nothing else is there.
+func (p *Placer) eligible(s *Snapshot, r Request) []worker.Worker {
+	all := s.Workers.Service(r.Service)
+	usable := make([]worker.Worker, 0, len(all))
+	var paused []worker.Worker
+	for _, w := range all {
+		switch {
+		case w.Leaving || s.Closed[w.Hall] || slices.Contains(r.Tried, w.ID):
+		case r.Allows != nil && !r.Allows(w.Region):
+		case p.cfg.Loads.Of(w.ID).Paused():
+			paused = append(paused, w)
+		default:
+			usable = append(usable, w)
+		}
+	}
+	if len(usable) == 0 {
+		return paused
+	}
+	return usable
+}
+
+// candidate is a worker with its weight for one key.
+type candidate struct {
+	worker worker.Worker
+	weight uint64
+}
+
+// ranked returns the workers of a region, best first for the key.
+func ranked(workers []worker.Worker, region string, key uint64) []candidate {
+	list := make([]candidate, 0, len(workers))
+	for _, w := range workers {
+		if w.Region == region {
+			list = append(list, candidate{worker: w, weight: mix(key ^ xxhash.Sum64String(w.ID))})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	return list
+}
+
+func (p *Placer) choose(s *Snapshot, r Request, workers []worker.Worker, region string) (Choice, Refusal) {
+	now := p.cfg.Now()
+	service, _ := s.Routes.Service(r.Service)
+	best, least, held, cold := worker.Worker{}, math.Inf(1), 0, false
+	for _, c := range ranked(workers, region, r.Key) {
+		if held == holders {
+			break
+		}
+		if now.Before(c.worker.ColdUntil) || now.Before(s.WarmAt[c.worker.Hall]) {
+			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
+				return p.take(c.worker), RefusalNone
+			}
+			cold = true
+			continue // Another holds the key until this one is warm.
+		}
+		held++
+		room := float64(c.worker.Slots) - reserve(c.worker.Slots, r)
+		busy := p.cfg.Loads.Of(c.worker.ID).Busy()
+		if busy+1 <= room && busy/float64(c.worker.Slots) < least {
+			best, least = c.worker, busy/float64(c.worker.Slots)
+		}
+	}
+	switch {
+	case !math.IsInf(least, 1):
+		return p.take(best), RefusalNone
+	case held == 0 && cold:
+		return Choice{}, RefusalCold
+	}
+	return Choice{}, RefusalBusy
+}
+
+func (p *Placer) take(w worker.Worker) Choice {
+	load := p.cfg.Loads.Of(w.ID)
+	load.Begin()
+	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region}
+}
+
+// reserve is the room that is kept from a request for more urgent ones.
+func reserve(slots int, r Request) float64 {
+	if r.Priority >= r.Lowest && r.Lowest > 0 && slots > 1 {
+		return min(1, float64(slots)/reservePart)
+	}
+	return 0
+}
+
+// reservePart of a worker's slots is kept from the least urgent requests.
+const reservePart = 6
+
+// mix spreads the bits of a number over all others.
+func mix(h uint64) uint64 {
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	return h ^ h>>32
+}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -18,6 +18,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 
 	"github.com/ryehill/ryehill/state/share"
@@ -58,6 +59,8 @@
 type Try struct {
 	// Number counts tries of this request, from 1.
 	Number int
+	// MaxTries bounds the tries of this request; 0 is the budget's bound.
+	MaxTries int
 	Cause  Cause
 	// NotRun is set if it is certain that no upstream began to run it.
 	NotRun bool
@@ -131,7 +134,7 @@
 		return VerdictFinal
 	case t.Home:
 		return VerdictAgain
-	case t.Number >= b.cfg.MaxTries:
+	case t.Number >= cmp.Or(t.MaxTries, b.cfg.MaxTries):
 		return VerdictTries
 	case !b.spend():
 		return VerdictBudget
--- /dev/null
+++ b/internal/gateway/compile.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+// reopenedCold is for how long the workers of a hall that is open again are
+// taken as cold: until their own entries must have said so.
+const reopenedCold = 2500 * time.Millisecond
+
+// compiler holds what the last snapshot was made from. Only compileLoop uses it.
+type compiler struct {
+	configRevision uint64
+	routes         *route.Table
+	workers        map[string]worker.Worker
+	closed         map[string]bool
+	warmAt         map[string]time.Time
+}
+
+// compileLoop makes a new snapshot whenever the replica has changed.
+func (g *Gateway) compileLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := g.replica.Changed()
+		g.compile(time.Now())
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (g *Gateway) compile(now time.Time) {
+	c := &g.compiler
+	g.compileRoutes(c)
+	_, workersKnown := g.replica.At(g.cfg.Codec.WorkerKind())
+	_, closedKnown := g.replica.At(g.cfg.Codec.ClosedKind())
+	if c.routes == nil || !workersKnown || !closedKnown {
+		return
+	}
+	g.compileClosed(c, now)
+	s := &placement.Snapshot{
+		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed),
+		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(),
+	}
+	g.snapshot.Store(s)
+	g.loads.Keep(func(id string) bool { _, ok := s.Workers.Get(id); return ok })
+	if g.life.Current() == phaseStarting {
+		g.enter("serve")
+	}
+}
+
+// compileRoutes takes in a newer configuration. One that cannot be read, or is
+// older than the one in force, changes nothing.
+func (g *Gateway) compileRoutes(c *compiler) {
+	for _, o := range g.replica.Objects(g.cfg.Codec.ConfigKind()) {
+		if o.Revision <= c.configRevision {
+			continue
+		}
+		cfg, err := g.cfg.Codec.Routes(o)
+		if err != nil {
+			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Revision)
+			continue
+		}
+		c.configRevision = o.Revision
+		if c.routes != nil && cfg.Version < c.routes.Version() {
+			continue
+		}
+		c.routes = route.NewTable(cfg)
+		g.cfg.Metrics.Generation(cfg.Version)
+		g.log.Info("config: in force", "version", cfg.Version, "revision", o.Revision, "routes", len(cfg.Routes))
+	}
+}
+
+func (g *Gateway) compileClosed(c *compiler, now time.Time) {
+	closed := make(map[string]bool)
+	for _, o := range g.replica.Objects(g.cfg.Codec.ClosedKind()) {
+		closed[o.Name] = true
+		if !c.closed[o.Name] {
+			g.log.Info("halls: closed", "hall", o.Name, "revision", o.Revision)
+		}
+	}
+	for hall := range c.closed {
+		if !closed[hall] {
+			c.warmAt[hall] = now.Add(reopenedCold)
+			g.log.Info("halls: open again", "hall", hall)
+		}
+	}
+	c.closed = closed
+}
+
+func (g *Gateway) compileWorkers(c *compiler, now time.Time) *worker.Set {
+	objects := g.replica.Objects(g.cfg.Codec.WorkerKind())
+	next := make(map[string]worker.Worker, len(objects))
+	list := make([]worker.Worker, 0, len(objects))
+	for _, o := range objects {
+		w, ok := c.workers[o.Name]
+		if !ok || w.Revision != o.Revision {
+			decoded, cold, err := g.cfg.Codec.Worker(o)
+			if err != nil {
+				g.log.Error(err, "workers: entry not taken", "worker", o.Name)
+				continue
+			}
+			w = decoded
+			w.Region = g.cfg.Halls[w.Hall]
+			if cold > 0 {
+				w.ColdUntil = now.Add(cold)
+			}
+		}
+		next[o.Name] = w
+		list = append(list, w)
+	}
+	c.workers = next
+	return worker.NewSet(list)
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,158 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/ryehill/ryehill/internal/metrics"
+	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/ingress"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// ErrConfig reports settings that cannot be used; its text names each field.
+var ErrConfig = errors.New("gateway: bad settings")
+
+// ErrForgotten is what a Store's Watch returns for a revision whose history is
+// gone.
+var ErrForgotten = errors.New("gateway: the store has forgotten that history")
+
+// Store is the platform's store of objects.
+type Store interface {
+	// List returns all objects of a kind and a revision up to which they are
+	// complete. A stale one may be some seconds old and costs less.
+	List(ctx context.Context, kind string, stale bool) ([]object.Object, uint64, error)
+	// Watch returns the changes of a kind after a revision as soon as there
+	// are any, at the latest after the hold.
+	Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error)
+	// Put makes or replaces an object.
+	Put(ctx context.Context, kind, name string, spec []byte) error
+}
+
+// Codec reads the store's objects.
+type Codec interface {
+	ConfigKind() string
+	WorkerKind() string
+	ClosedKind() string
+	MemberKind() string
+	Routes(o object.Object) (route.Config, error)
+	// Worker returns a worker and for how long it is still cold.
+	Worker(o object.Object) (worker.Worker, time.Duration, error)
+	EncodeMember(vm spec.VM) ([]byte, error)
+	Members(objects []object.Object) []spec.VM
+}
+
+// Dialect is the headers of requests and answers.
+type Dialect interface {
+	ingress.Dialect
+	upstream.Dialect
+}
+
+// Bounds are the times and rates that the fleet's operators set.
+type Bounds struct {
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// RetryRatio is the part of requests that may be sent again.
+	RetryRatio float64
+	// MaxTTL bounds for how long the directory's answers hold.
+	MaxTTL time.Duration
+}
+
+// Config sets up a Gateway. All fields but Seeds and the intervals are
+// required.
+type Config struct {
+	Fleet string
+	VM    string
+	Hall  string
+	// Halls gives the region of each hall.
+	Halls map[string]string
+	// Ingress is for clients, Ready for the platform's checks, Directory for
+	// clients that ask where to go, Peer for other VMs, MetricsAddress for
+	// operators: each an IP:port, and two may be the same where the handler
+	// is the same.
+	Ingress, Ready, Directory, Peer, MetricsAddress string
+	// Seeds are addresses of peers to ask while the store is away at the
+	// start.
+	Seeds  []string
+	Bounds Bounds
+
+	Store   Store
+	Codec   Codec
+	Dialect Dialect
+	// EntryHandler makes the handler of readiness and directory.
+	EntryHandler func(*Gateway) http.Handler
+	Log          logr.Logger
+	Metrics      *metrics.Set
+
+	// WatchHold is how long the store holds a watch. Default 2.5 s.
+	WatchHold time.Duration
+	// ProbeInterval is the time between two probes. Default 500 ms.
+	ProbeInterval time.Duration
+}
+
+// Defaults of the intervals.
+const (
+	DefaultWatchHold     = 2500 * time.Millisecond
+	DefaultProbeInterval = 500 * time.Millisecond
+)
+
+func (c *Config) setDefaults() {
+	if c.WatchHold <= 0 {
+		c.WatchHold = DefaultWatchHold
+	}
+	if c.ProbeInterval <= 0 {
+		c.ProbeInterval = DefaultProbeInterval
+	}
+}
+
+// Check returns ErrConfig with all faults of the settings, or nil.
+func (c *Config) Check() error {
+	var faults []string
+	add := func(field, want string) { faults = append(faults, field+": "+want) }
+	for field, value := range map[string]string{"fleet": c.Fleet, "vm": c.VM, "hall": c.Hall} {
+		if !spec.ValidName(value) {
+			add(field, "want a name of letters, digits and dashes, not \""+value+"\"")
+		}
+	}
+	if _, ok := c.Halls[c.Hall]; !ok {
+		add("halls", "hall \""+c.Hall+"\" has no region")
+	}
+	for field, value := range map[string]string{
+		"ingress": c.Ingress, "ready": c.Ready, "directory": c.Directory, "peer": c.Peer, "metrics": c.MetricsAddress,
+	} {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			add(field, "want IP:port, not \""+value+"\"")
+		}
+	}
+	for _, seed := range c.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			add("seeds", "want IP:port, not \""+seed+"\"")
+		}
+	}
+	if c.Bounds.Grace <= 0 {
+		add("grace", "want a time above 0")
+	}
+	if c.Bounds.RetryRatio < 0 || c.Bounds.RetryRatio > 1 {
+		add("retry-ratio", "want 0 to 1")
+	}
+	if c.Bounds.MaxTTL <= 0 {
+		add("max-ttl", "want a time above 0")
+	}
+	if len(faults) > 0 {
+		return errors.Wrap(ErrConfig, strings.Join(faults, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/directory.go
@@ -0,0 +1,68 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/membership"
+)
+
+const (
+	// directoryTTL is for how long an answer of the directory holds.
+	directoryTTL = 2 * time.Second
+	// maxAddresses bounds the VMs in one answer.
+	maxAddresses = 64
+)
+
+// Resolve returns the entry addresses of live VMs for clients of a host that
+// are in a region, and for how long they hold. VMs of other regions are named
+// only while that region has none.
+func (g *Gateway) Resolve(_, region, _ string) ([]string, time.Duration) {
+	ttl := min(directoryTTL, g.cfg.Bounds.MaxTTL)
+	members := g.live()
+	var near, far []string
+	for _, m := range members {
+		if g.cfg.Halls[m.Hall] == region {
+			near = append(near, m.Entry)
+		} else {
+			far = append(far, m.Entry)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return near[:min(len(near), maxAddresses)], ttl
+}
+
+// live returns the VMs that answer, this one among them while it serves.
+func (g *Gateway) live() []membership.Member {
+	var live []membership.Member
+	if g.Ready() {
+		live = append(live, g.members.Self())
+	}
+	for _, m := range g.members.All() {
+		if m.State == membership.StateLive && m.Start != 0 {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Live implements placement.Peers.
+func (g *Gateway) Live(region string) (ids []string, listed int) {
+	for _, m := range g.live() {
+		if g.cfg.Halls[m.Hall] == region {
+			ids = append(ids, m.ID)
+		}
+	}
+	for _, m := range g.members.Listed() {
+		if g.cfg.Halls[m.Hall] == region {
+			listed++
+		}
+	}
+	return ids, listed
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,213 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+const (
+	probeTimeout = 800 * time.Millisecond
+	pullTimeout  = 2 * time.Second
+	seedInterval = 500 * time.Millisecond
+)
+
+// probeLoop probes members and moves their states on.
+func (g *Gateway) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(g.cfg.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if g.members.Tick() {
+			g.log.Info("members: this VM was frozen")
+		}
+		for _, m := range g.members.Probes() {
+			go g.probe(ctx, m)
+		}
+	}
+}
+
+func (g *Gateway) probe(ctx context.Context, m membership.Member) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: g.probeMessage(m.ID)}}
+	reply, err := g.peers.Call(ctx, peer.Target{VM: m.ID, Address: m.Peer}, message)
+	g.cfg.Metrics.PeerCall("probe", err)
+	if err != nil {
+		g.members.Failed(m.ID)
+		return
+	}
+	if p := reply.GetProbe(); p != nil {
+		g.hear(peer.Target{VM: m.ID, Address: m.Peer}, p)
+	}
+}
+
+func (g *Gateway) probeMessage(to string) *peerpb.Probe {
+	p := &peerpb.Probe{Replicas: g.replicaRevisions()}
+	for _, m := range g.members.News(to) {
+		p.News = append(p.News, toMember(m))
+	}
+	return p
+}
+
+func (g *Gateway) replicaRevisions() map[string]uint64 {
+	revisions := make(map[string]uint64)
+	for _, kind := range g.watchedKinds() {
+		if at, ok := g.replica.At(kind); ok {
+			revisions[kind] = at
+		}
+	}
+	return revisions
+}
+
+// hear takes in a probe or the reply to one, and fetches what the peer has and
+// this VM has not.
+func (g *Gateway) hear(from peer.Target, p *peerpb.Probe) {
+	news := make([]membership.Member, 0, len(p.GetNews()))
+	for _, m := range p.GetNews() {
+		if member, err := fromMember(m); err == nil {
+			news = append(news, member)
+		}
+	}
+	g.members.Heard(news)
+	for _, kind := range g.watchedKinds() {
+		at, known := g.replica.At(kind)
+		if theirs := p.GetReplicas()[kind]; theirs > at || !known && theirs > 0 {
+			go g.pull(from)
+			return
+		}
+	}
+}
+
+// pull fetches what a peer has and this VM has not. One pull at a time is
+// enough: the next probe asks for whatever is still missing.
+func (g *Gateway) pull(from peer.Target) {
+	if !g.pulling.TryLock() {
+		return
+	}
+	defer g.pulling.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: &peerpb.Sync{Since: g.replicaRevisions()}}}
+	reply, err := g.peers.Call(ctx, from, message)
+	g.cfg.Metrics.PeerCall("sync", err)
+	if err != nil {
+		return
+	}
+	for _, d := range reply.GetSynced().GetDeltas() {
+		g.replica.Merge(fromDelta(d))
+	}
+}
+
+// seedLoop asks the peers of the settings while nothing is known of the store.
+func (g *Gateway) seedLoop(ctx context.Context) {
+	sleep(ctx, seedInterval)
+	for i := 0; ctx.Err() == nil && g.snapshot.Load() == nil && len(g.cfg.Seeds) > 0; i++ {
+		seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]
+		if seed != g.cfg.Peer {
+			g.pull(peer.Target{Address: seed})
+		}
+		sleep(ctx, seedInterval)
+	}
+}
+
+// handlePeer serves one stream that another VM opened.
+func (g *Gateway) handlePeer(_ context.Context, from peer.Identity, s *peer.Stream, first *peerpb.Envelope) {
+	var reply *peerpb.Envelope
+	switch k := first.GetKind().(type) {
+	case *peerpb.Envelope_Probe:
+		if m, ok := g.members.Member(from.VM); ok {
+			g.hear(peer.Target{VM: from.VM, Address: m.Peer}, k.Probe)
+		} else {
+			g.hear(peer.Target{VM: from.VM, Address: ownPeer(from.VM, k.Probe)}, k.Probe)
+		}
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: g.probeMessage(from.VM)}}
+	case *peerpb.Envelope_Sync:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: g.synced(k.Sync)}}
+	default:
+		g.log.Info("peer: a stream cannot begin with this message", "peer", from.VM, "message", errors.Newf("%T", k).Error())
+		return
+	}
+	if err := s.Write(reply); err != nil {
+		g.log.V(1).Info("peer: reply not sent", "peer", from.VM, "error", err.Error())
+	}
+}
+
+// ownPeer returns the address that a VM gives for itself.
+func ownPeer(vm string, p *peerpb.Probe) string {
+	for _, m := range p.GetNews() {
+		if m.GetVm() == vm {
+			return m.GetPeer()
+		}
+	}
+	return ""
+}
+
+func (g *Gateway) synced(ask *peerpb.Sync) *peerpb.Synced {
+	answer := &peerpb.Synced{}
+	for _, kind := range g.watchedKinds() {
+		since, known := ask.GetSince()[kind]
+		if d, ok := g.replica.Since(kind, since, known); ok {
+			answer.Deltas = append(answer.Deltas, toDelta(d))
+		}
+	}
+	return answer
+}
+
+// allowPeer refuses a VM that names a hall the fleet does not have.
+func (g *Gateway) allowPeer(id peer.Identity) error {
+	if _, ok := g.cfg.Halls[id.Hall]; !ok || !spec.ValidName(id.VM) {
+		return errors.Newf("hall %q is unknown", id.Hall)
+	}
+	return nil
+}
+
+func toDelta(d object.Delta) *peerpb.Delta {
+	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Since: d.Since, At: d.At}
+	for _, e := range d.Events {
+		out.Events = append(out.Events, &peerpb.ObjectEvent{Name: e.Name, Revision: e.Revision, Gone: e.Gone, Spec: e.Spec})
+	}
+	return out
+}
+
+func fromDelta(d *peerpb.Delta) object.Delta {
+	out := object.Delta{Kind: d.GetKind(), Full: d.GetFull(), Since: d.GetSince(), At: d.GetAt()}
+	for _, e := range d.GetEvents() {
+		out.Events = append(out.Events, object.Event{
+			Object: object.Object{Name: e.GetName(), Revision: e.GetRevision(), Spec: e.GetSpec()}, Gone: e.GetGone(),
+		})
+	}
+	return out
+}
+
+func toMember(m membership.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Vm: m.ID, Hall: m.Hall, Entry: m.Entry, Peer: m.Peer,
+		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State),
+	}
+}
+
+func fromMember(m *peerpb.Member) (membership.Member, error) {
+	state := membership.State(m.GetState())
+	if !spec.ValidName(m.GetVm()) || !spec.ValidName(m.GetHall()) || state > membership.StateGone || m.GetStart() == 0 {
+		return membership.Member{}, errors.Newf("malformed news of VM %q", m.GetVm())
+	}
+	return membership.Member{
+		VM:    spec.VM{ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive},
+		Start: m.GetStart(), Incarnation: m.GetIncarnation(), State: state,
+	}, nil
+}
--- a/internal/program/daemon.go
+++ b/internal/program/daemon.go
@@ -27,8 +27,9 @@
 		Usage: "steer client traffic from one entry VM",
 		Description: "Every flag can be set by an environment variable: RYEHILL_ and the flag's name in capitals,\n" +
 			"with underscores. SIGTERM begins a planned stop, which cuts off no request; a second one ends at once.",
-		Flags:  settings.DaemonFlags(),
-		Action: runDaemon,
+		Flags:    settings.DaemonFlags(),
+		Action:   runDaemon,
+		Commands: []*cli.Command{gatewayCommand()},
 	}
 }
 
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,63 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/ryehill/ryehill/internal/gateway"
+)
+
+// GatewayFlags are the flags of ryehilld gateway.
+func GatewayFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "fleet", Value: "main", Usage: "name of the fleet; VMs of other fleets are refused", Sources: env("fleet")},
+		text("vm", "id of this VM"),
+		text("hall", "hall that this VM is in"),
+		text("halls", "region of every hall, as a JSON object"),
+		text("ingress", "IP:port for clients"),
+		text("ready", "IP:port for checks of readiness"),
+		text("directory", "IP:port for clients that ask where to go"),
+		text("peer", "IP:port for other VMs"),
+		text("metrics", "IP:port for metrics"),
+		text("platform", "IP:port of the platform's store"),
+		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
+		duration("grace", "time from SIGTERM to SIGKILL", 10*time.Second),
+		duration("max-ttl", "longest time that the directory's answers may hold", 5*time.Second),
+		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "part of the requests that all VMs together may send again", Sources: env("retry-ratio")},
+		duration("watch-hold", "time that the store holds a watch", gateway.DefaultWatchHold),
+		duration("probe-interval", "time between two probes of other VMs", gateway.DefaultProbeInterval),
+		&cli.BoolFlag{Name: "verbose", Usage: "log what helps to find a fault", Sources: env("verbose")},
+		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+	}
+}
+
+// Gateway reads the settings of ryehilld gateway. The fields that are no
+// settings are for the caller to set. Faults are found by gateway.Config.Check,
+// but for those that only show while a value is parsed.
+func Gateway(c *cli.Command) (gateway.Config, error) {
+	cfg := gateway.Config{
+		Fleet: c.String("fleet"), VM: c.String("vm"), Hall: c.String("hall"),
+		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
+		Peer: c.String("peer"), MetricsAddress: c.String("metrics"),
+		Bounds: gateway.Bounds{
+			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
+		},
+		WatchHold: c.Duration("watch-hold"), ProbeInterval: c.Duration("probe-interval"),
+	}
+	for seed := range strings.SplitSeq(c.String("seeds"), ",") {
+		if seed = strings.TrimSpace(seed); seed != "" {
+			cfg.Seeds = append(cfg.Seeds, seed)
+		}
+	}
+	if err := json.Unmarshal([]byte(c.String("halls")), &cfg.Halls); err != nil {
+		return cfg, errors.Wrap(gateway.ErrConfig, "halls: want a JSON object of hall and region: "+err.Error())
+	}
+	return cfg, cfg.Check()
+}
--- /dev/null
+++ b/state/worker/loads.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package worker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	shardCount = 16
+	// reportFades is after how long a worker's own word on its load counts
+	// for nothing.
+	reportFades = time.Second
+	// firstPause and longestPause bound how long a worker that failed gets
+	// nothing; the pause doubles with each failure in a row.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+)
+
+// Loads holds a Load for each worker. It is safe for concurrent use; workers
+// are in shards, each under a lock of its own.
+type Loads struct {
+	now    func() time.Time
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	loads map[string]*Load
+}
+
+// NewLoads returns loads of no worker yet.
+func NewLoads(now func() time.Time) *Loads {
+	l := &Loads{now: now}
+	for i := range l.shards {
+		l.shards[i].loads = make(map[string]*Load)
+	}
+	return l
+}
+
+// Of returns the load of a worker.
+func (l *Loads) Of(id string) *Load {
+	s := &l.shards[xxhash.Sum64String(id)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load, ok := s.loads[id]
+	if !ok {
+		load = &Load{now: l.now}
+		s.loads[id] = load
+	}
+	return load
+}
+
+// Keep forgets the idle workers that the function does not want kept.
+func (l *Loads) Keep(wanted func(id string) bool) {
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for id, load := range s.loads {
+			if !wanted(id) && load.Own() == 0 {
+				delete(s.loads, id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Load is what this VM knows of how busy one worker is. It is safe for
+// concurrent use.
+type Load struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	own      int // requests of this VM under way
+	others   int // requests of others, as the worker last told
+	told     time.Time
+	failures int // in a row
+	pausedTo time.Time
+}
+
+// Begin counts a request of this VM.
+func (l *Load) Begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own++
+}
+
+// End takes a request of this VM off.
+func (l *Load) End() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own--
+}
+
+// Own returns how many requests of this VM are under way.
+func (l *Load) Own() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.own
+}
+
+// Told takes in the worker's own word on the requests it runs and holds. It is
+// to be called before End of the request whose answer carried it.
+func (l *Load) Told(running, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.others = max(0, running+waiting-(l.own-1))
+	l.told = l.now()
+}
+
+// Busy returns how many requests the worker is thought to hold: those of this
+// VM and, fading within a second, what it last told of others.
+func (l *Load) Busy() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	age := l.now().Sub(l.told)
+	if age >= reportFades {
+		return float64(l.own)
+	}
+	return float64(l.own) + float64(l.others)*(1-age.Seconds()/reportFades.Seconds())
+}
+
+// Failed notes that the worker did not answer, and pauses it.
+func (l *Load) Failed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pause := min(firstPause<<min(l.failures, 8), longestPause)
+	l.failures++
+	l.pausedTo = l.now().Add(pause)
+}
+
+// Answered notes that the worker answered, and ends a pause.
+func (l *Load) Answered() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+	l.pausedTo = time.Time{}
+}
+
+// Paused reports whether the worker should get nothing for now.
+func (l *Load) Paused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Before(l.pausedTo)
+}
--- /dev/null
+++ b/transport/ingress/ingress.go
@@ -0,0 +1,182 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package ingress serves clients: it finds the route of a request by host and
+// path, sends the request to a worker of the route's service, and returns that
+// worker's answer unchanged.
+//
+// What may be sent again is decided in one place, package retry: a request that
+// may run only once is sent to another worker only if it is certain that no
+// worker has begun to run it. Status 503 is answered only where that is
+// certain, at once and with a time to come back; 502 and 504 where a worker may
+// have run it. An answer that ends early never looks whole: the client's
+// connection is closed instead.
+//
+// # Usage
+//
+//	handler := ingress.New(ingress.Config{Snapshot: load, Placer: placer, Upstreams: client, Dialect: dialect, Metrics: set, Log: log})
+//	http.Serve(listener, handler)
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/internal/metrics"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// Dialect reads and writes the headers by which clients, VMs and workers
+// understand each other. Its methods are called by several goroutines.
+type Dialect interface {
+	// RequestID returns the id that the client gave its request.
+	RequestID(r *http.Request) string
+	// Patience returns how long the client waits.
+	Patience(r *http.Request) (time.Duration, bool)
+	// Key returns the affinity key of a request.
+	Key(r *http.Request) (string, bool)
+	// Address sets the worker that is meant and the time it has.
+	Address(h http.Header, workerID string, left time.Duration)
+	// Load returns the requests that a worker runs and holds, from an answer.
+	Load(h http.Header) (running, waiting int, ok bool)
+}
+
+// Config sets up a Handler. All fields but Retry are required.
+type Config struct {
+	// Snapshot returns what is believed now, or nil before anything is known.
+	Snapshot  func() *placement.Snapshot
+	Placer    *placement.Placer
+	Upstreams *upstream.Client
+	Dialect   Dialect
+	Metrics   *metrics.Set
+	Log       logr.Logger
+	// VMs returns how many VMs share what a worker accepts; at least 1.
+	VMs func() int
+	// Retry is the budget of each service for tries after the first.
+	Retry retry.Config
+}
+
+// Handler serves clients. It is safe for concurrent use.
+type Handler struct {
+	cfg      Config
+	split    *placement.Split
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// New returns a handler.
+func New(cfg Config) *Handler {
+	return &Handler{cfg: cfg, split: placement.NewSplit(), budgets: make(map[string]*retry.Budget)}
+}
+
+// Stop makes every answer from now on close its connection, so that clients
+// move to other VMs.
+func (h *Handler) Stop() { h.stopping.Store(true) }
+
+// InFlight returns how many requests are under way.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{handler: h, in: r, out: w, arrived: time.Now(), id: h.cfg.Dialect.RequestID(r)}
+	snapshot := h.cfg.Snapshot()
+	if snapshot == nil {
+		q.refuse(reasonNoConfig)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	matched, ok := snapshot.Routes.Match(r.Host, path)
+	if !ok {
+		q.reject(http.StatusNotFound, reasonNoRoute)
+		return
+	}
+	q.route = matched
+	q.serve(snapshot)
+}
+
+// budget returns the retry budget of a service.
+func (h *Handler) budget(service string) *retry.Budget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b, ok := h.budgets[service]
+	if !ok {
+		b = retry.New(h.cfg.Retry)
+		h.budgets[service] = b
+	}
+	return b
+}
+
+// request is one request of a client on its way.
+type request struct {
+	handler *Handler
+	in      *http.Request
+	out     http.ResponseWriter
+	id      string
+	arrived time.Time
+	route   *route.Route
+	// service is the one chosen for the request.
+	service string
+	until   time.Time
+	key     uint64
+	keyed   bool
+	body    *body
+	tried   []string
+	// mayHaveRun is set once a worker was given the request and did not say
+	// that it has not run it.
+	mayHaveRun bool
+	// headSent is set once the client has the head of its answer.
+	headSent bool
+}
+
+// serve carries a request whose route is known to its answer.
+func (q *request) serve(s *placement.Snapshot) {
+	q.until = q.deadline()
+	if key, ok := q.handler.cfg.Dialect.Key(q.in); ok && q.route.Affinity {
+		q.key, q.keyed = xxhash.Sum64String(key), true
+	} else {
+		q.key = xxhash.Sum64String(q.id)
+	}
+	q.service = q.handler.split.Choose(q.route, q.key)
+	var err error
+	if q.body, err = readBody(q.in, s.Routes.Limits().MaxBodyBytes); err != nil {
+		q.badBody(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(q.in.Context(), q.until)
+	defer cancel()
+	q.handler.budget(q.service).First()
+	q.run(ctx)
+	q.handler.cfg.Metrics.Took(q.service, time.Since(q.arrived))
+}
+
+// deadline is when the request is given up: when the client does or when the
+// route's time is over, whichever comes first.
+func (q *request) deadline() time.Time {
+	const unbounded = time.Minute
+	held := unbounded
+	if q.route.Timeout > 0 {
+		held = q.route.Timeout
+	}
+	if patience, ok := q.handler.cfg.Dialect.Patience(q.in); ok {
+		held = min(held, patience)
+	}
+	return q.arrived.Add(held)
+}
--- /dev/null
+++ b/transport/ingress/try.go
@@ -0,0 +1,187 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// impatience is the part of the time left after which a request that may be
+// repeated is sent to another worker, if its own one has not answered.
+const impatience = 0.55
+
+// errImpatient ends a try whose worker has not answered for long.
+var errImpatient = errors.New("ingress: the worker has not answered for long")
+
+// failure is a try that brought no answer.
+type failure struct {
+	cause  retry.Cause
+	notRun bool
+	err    error
+}
+
+// run tries workers until one answers or no other try is allowed.
+func (q *request) run(ctx context.Context) {
+	for number := 1; ; number++ {
+		s := q.handler.cfg.Snapshot()
+		if _, ok := s.Routes.Service(q.service); !ok && !q.mayHaveRun {
+			q.refuse(reasonMoved)
+			return
+		}
+		choice, refusal := q.handler.cfg.Placer.Place(s, q.placement(s))
+		if refusal != placement.RefusalNone {
+			q.refusePlacement(refusal, number)
+			return
+		}
+		failed := q.try(ctx, s, choice, number)
+		if failed == nil {
+			return
+		}
+		q.mayHaveRun = q.mayHaveRun || !failed.notRun
+		q.handler.cfg.Metrics.Tried(string(failed.cause))
+		if q.headSent {
+			q.abort(reasonBroken, failed.err)
+			return
+		}
+		verdict := q.decide(ctx, failed, number)
+		q.handler.cfg.Metrics.Retry(string(failed.cause), string(verdict))
+		if !verdict.Again() {
+			q.fail(ctx, failed, verdict)
+			return
+		}
+	}
+}
+
+func (q *request) placement(s *placement.Snapshot) placement.Request {
+	return placement.Request{
+		Service: q.service, Key: q.key, Keyed: q.keyed,
+		Priority: q.route.Priority, Lowest: s.Routes.LowestPriority(q.service),
+		Allows: q.route.AllowsRegion, Tried: q.tried,
+	}
+}
+
+func (q *request) decide(ctx context.Context, f *failure, number int) retry.Verdict {
+	return q.handler.budget(q.service).Decide(retry.Try{
+		Number: number, MaxTries: q.route.MaxAttempts, Cause: f.cause, NotRun: f.notRun,
+		Repeatable: q.route.Repeatable, BodyGone: q.body.gone, Expired: ctx.Err() != nil,
+	})
+}
+
+// try sends the request to one worker and passes its answer on.
+func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) *failure {
+	w := c.Worker()
+	q.tried = append(q.tried, w.ID)
+	load := c.Load()
+	defer load.End()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stopWaiting := q.grantPatience(ctx, cancel, number)
+	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
+	stopWaiting()
+	if err != nil {
+		return q.judge(ctx, c, err)
+	}
+	defer answer.Close()
+	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
+		load.Told(running, waiting)
+	}
+	if err := q.passOn(answer); err != nil {
+		load.Failed()
+		return &failure{cause: retry.CauseBroken, err: err}
+	}
+	load.Answered()
+	return nil
+}
+
+// grantPatience gives up a try of a repeatable request when its worker has been
+// silent for long and another try is allowed. The returned function ends that.
+func (q *request) grantPatience(ctx context.Context, cancel context.CancelCauseFunc, number int) func() {
+	if !q.route.Repeatable || number >= q.route.MaxAttempts || q.body.rest != nil {
+		return func() {}
+	}
+	left := time.Until(q.until)
+	timer := time.AfterFunc(time.Duration(float64(left)*impatience), func() {
+		f := &failure{cause: retry.CauseBroken}
+		if q.decide(ctx, f, number).Again() {
+			cancel(errImpatient)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
+func (q *request) target(s *placement.Snapshot, c placement.Choice) upstream.Worker {
+	w := c.Worker()
+	service, _ := s.Routes.Service(w.Service)
+	connections := 0
+	if service.MaxConnections > 0 {
+		connections = max(service.MaxConnections/q.handler.cfg.VMs(), 2)
+	}
+	return upstream.Worker{ID: w.ID, Address: w.Address, Connections: connections}
+}
+
+func (q *request) outgoing(workerID string) *upstream.Request {
+	header := q.in.Header.Clone()
+	stripHopByHop(header)
+	header.Del("Expect")
+	q.handler.cfg.Dialect.Address(header, workerID, time.Until(q.until))
+	return &upstream.Request{
+		Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: header,
+		Body: q.body.reader(), Length: q.body.length, Once: !q.route.Repeatable,
+	}
+}
+
+// judge says what a failed send means and notes it of the worker.
+func (q *request) judge(ctx context.Context, c placement.Choice, err error) *failure {
+	f := &failure{cause: retry.CauseBroken, err: err}
+	var failed *upstream.Error
+	if !errors.As(err, &failed) {
+		return f
+	}
+	f.notRun = failed.NotRun()
+	if running, waiting, ok := q.handler.cfg.Dialect.Load(failed.Header()); ok {
+		c.Load().Told(running, waiting)
+	}
+	left := q.in.Context().Err() != nil
+	switch failed.Kind() {
+	case upstream.KindShed, upstream.KindBusy:
+		f.cause = retry.CauseShed
+	case upstream.KindLeaving:
+		f.cause = retry.CauseLeaving
+		c.Load().Failed()
+	case upstream.KindUnreachable, upstream.KindOther:
+		f.cause = retry.CauseUnreachable
+		if !left {
+			c.Load().Failed()
+		}
+	case upstream.KindBroken:
+		if !left && !errors.Is(context.Cause(ctx), errImpatient) {
+			c.Load().Failed()
+		}
+	case upstream.KindBody:
+	}
+	return f
+}
+
+// stripHopByHop removes the headers that concern one connection only.
+func stripHopByHop(h http.Header) {
+	for _, value := range h.Values("Connection") {
+		for _, name := range splitList(value) {
+			h.Del(name)
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	} {
+		h.Del(name)
+	}
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -71,12 +71,20 @@
 	Start uint64
 }
 
-// Target is a VM to reach.
+// Target is a VM to reach. Without an id it is whichever VM has the address.
 type Target struct {
 	VM      string
 	Address string
 }
 
+// key names the session to a target.
+func (t Target) key() string {
+	if t.VM == "" {
+		return "@" + t.Address
+	}
+	return t.VM
+}
+
 // Handler serves one stream that a peer opened. It owns the stream and closes
 // it. The first message has been read already.
 type Handler func(ctx context.Context, from Identity, s *Stream, first *peerpb.Envelope)
@@ -225,7 +233,7 @@
 // next call dials anew and finds out quickly whether the VM is there.
 func (m *Manager) suspect(t Target) {
 	m.mu.Lock()
-	s := m.sessions[t.VM]
+	s := m.sessions[t.key()]
 	m.mu.Unlock()
 	if s == nil {
 		return
@@ -242,7 +250,7 @@
 func (m *Manager) session(t Target) (*session, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s, ok := m.sessions[t.VM]
+	s, ok := m.sessions[t.key()]
 	if ok {
 		return s, nil
 	}
@@ -253,7 +261,7 @@
 	b.InitialInterval = firstRetry
 	b.MaxInterval = longestRetry
 	s = &session{backoff: b}
-	m.sessions[t.VM] = s
+	m.sessions[t.key()] = s
 	return s, nil
 }
 
@@ -312,7 +320,7 @@
 		conn = tls.Client(conn, m.cfg.ClientTLS)
 	}
 	id, err := m.hello(conn)
-	if err == nil && id.VM != t.VM {
+	if err == nil && t.VM != "" && id.VM != t.VM {
 		err = errors.Wrapf(ErrHello, "meant VM %s, found %s", t.VM, id.VM)
 	}
 	if err != nil {
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -26,6 +26,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,11 +64,13 @@
 	KindBroken
 	// KindBody means that the caller's body could not be read to its end.
 	KindBody
+	// KindOther means that another worker has the address.
+	KindOther
 )
 
 // String returns the kind's name as used in metrics.
 func (k Kind) String() string {
-	return [...]string{"unreachable", "busy", "shed", "leaving", "broken", "body"}[k]
+	return [...]string{"unreachable", "busy", "shed", "leaving", "broken", "body", "other-worker"}[k]
 }
 
 // Error is a failed try.
@@ -76,6 +80,7 @@
 	step   string
 	worker string
 	cause  error
+	header http.Header
 }
 
 // Kind returns how the try failed.
@@ -85,6 +90,9 @@
 // byte of the request was given to it, or it said so.
 func (e *Error) NotRun() bool { return e.notRun }
 
+// Header returns the header of a refusal by the upstream, or nil.
+func (e *Error) Header() http.Header { return e.header }
+
 // Step returns the step at which the try failed.
 func (e *Error) Step() string { return e.step }
 
@@ -115,15 +123,63 @@
 	// Progress is how long an exchange may stand still while a body is
 	// under way. Default 30 s.
 	Progress time.Duration
-	// IdleFor is how long an unused connection is kept. Default 30 s.
+	// IdleFor is how long an unused connection is kept. Default 30 s. An
+	// upstream that announces less in Keep-Alive gets less.
 	IdleFor time.Duration
+	// OnceIdle is for how long an unused connection is good for a request
+	// that may not be repeated. Default 0: such a request always gets a new
+	// connection.
+	OnceIdle time.Duration
+	// DialTimeout bounds the opening of a connection. Default 2 s.
+	DialTimeout time.Duration
+	// Dialect reads the signs of answers. Default: the headers of this
+	// package.
+	Dialect Dialect
+}
+
+// Dialect says what the answers of upstreams mean. Its methods must not read
+// bodies.
+type Dialect interface {
+	// Refused reports whether an answer says that the request was not run,
+	// and how.
+	Refused(res *http.Response) (Kind, bool)
+	// Belongs reports whether an answer is one to the request.
+	Belongs(req *Request, res *http.Response) bool
+	// WithoutLength reports whether an answer may have neither length nor
+	// chunks, so that it ends with its connection.
+	WithoutLength() bool
+}
+
+// ownDialect is the default.
+type ownDialect struct{}
+
+// Refused implements Dialect.
+func (ownDialect) Refused(res *http.Response) (Kind, bool) {
+	if res.StatusCode != http.StatusServiceUnavailable {
+		return 0, false
+	}
+	switch res.Header.Get(HeaderRefused) {
+	case RefusedShed:
+		return KindShed, true
+	case RefusedLeaving:
+		return KindLeaving, true
+	}
+	return 0, false
 }
 
+// Belongs implements Dialect.
+func (ownDialect) Belongs(*Request, *http.Response) bool { return true }
+
+// WithoutLength implements Dialect: the end of such a body is the end of the
+// connection, so a broken answer could not be told from a whole one (RFC 9112,
+// section 6.3).
+func (ownDialect) WithoutLength() bool { return false }
+
 const (
-	defaultProgress = 30 * time.Second
-	defaultIdleFor  = 30 * time.Second
-	dialTimeout     = 2 * time.Second
-	maxIdle         = 32
+	defaultProgress    = 30 * time.Second
+	defaultIdleFor     = 30 * time.Second
+	defaultDialTimeout = 2 * time.Second
+	maxIdle            = 32
 )
 
 // Client keeps connections to upstreams. It is safe for concurrent use.
@@ -142,8 +198,11 @@
 
 // New returns a client without connections.
 func New(cfg Config) *Client {
+	if cfg.DialTimeout <= 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
+		d := &net.Dialer{Timeout: cfg.DialTimeout}
 		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}
@@ -154,6 +213,9 @@
 	if cfg.IdleFor <= 0 {
 		cfg.IdleFor = defaultIdleFor
 	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = ownDialect{}
+	}
 	return &Client{cfg: cfg, pools: make(map[string]*pool)}
 }
 
@@ -183,15 +245,20 @@
 	return p
 }
 
-// connect returns a kept connection, unless fresh is asked for, or a new one.
-func (c *Client) connect(ctx context.Context, w Worker, fresh bool) (*conn, error) {
+// connect returns a kept connection, or a new one if there is none that is
+// good for the request.
+func (c *Client) connect(ctx context.Context, w Worker, once bool) (*conn, error) {
 	p := c.pool(w.Address)
-	for !fresh {
-		kept := p.takeIdle()
+	goodFor := c.cfg.IdleFor
+	if once {
+		goodFor = min(goodFor, c.cfg.OnceIdle)
+	}
+	for {
+		kept := p.takeIdle(goodFor)
 		if kept == nil {
 			break
 		}
-		if time.Since(kept.since) < c.cfg.IdleFor && kept.wake() {
+		if kept.wake() {
 			return kept, nil
 		}
 		kept.close()
@@ -199,28 +266,45 @@
 	if !p.reserve(w.Connections) {
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
 	raw, err := c.cfg.Dial(ctx, w.Address)
 	if err != nil {
 		p.released()
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
-	return newConn(raw, p), nil
+	return newConn(raw, p, c.cfg.IdleFor), nil
 }
 
-func (p *pool) takeIdle() *conn {
+// takeIdle takes out the connection that was used last, if it has not rested
+// for longer than it is good for. Those that no request may use are closed.
+func (p *pool) takeIdle(goodFor time.Duration) *conn {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	expired := p.takeExpired()
+	var kept *conn
+	if n := len(p.idle); n > 0 && time.Since(p.idle[n-1].since) < goodFor {
+		kept = p.idle[n-1]
+		p.idle = p.idle[:n-1]
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.close()
 	}
-	kept := p.idle[n-1]
-	p.idle = p.idle[:n-1]
 	return kept
 }
 
+// takeExpired takes out the connections that have rested for too long. They are
+// at the front, since the last used one is at the end.
+func (p *pool) takeExpired() []*conn {
+	n := 0
+	for n < len(p.idle) && time.Since(p.idle[n].since) >= p.idle[n].idleFor {
+		n++
+	}
+	expired := slices.Clone(p.idle[:n])
+	p.idle = p.idle[n:]
+	return expired
+}
+
 // reserve counts a new connection, closing an idle one if the limit is reached.
 func (p *pool) reserve(limit int) bool {
 	p.mu.Lock()
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -7,6 +7,8 @@
 	"bufio"
 	"net"
 	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +21,10 @@
 	reader *bufio.Reader
 	pool   *pool
 	since  time.Time // when it was last put aside
-	once   sync.Once
+	// idleFor is how long it may be put aside: what the upstream announced,
+	// less a margin, if it announced anything.
+	idleFor time.Duration
+	once    sync.Once
 
 	// While the connection rests, a goroutine waits for the upstream to
 	// close it or to send what nobody asked for.
@@ -27,8 +32,24 @@
 	spoilt  bool
 }
 
-func newConn(raw net.Conn, p *pool) *conn {
-	return &conn{raw: raw, reader: bufio.NewReader(raw), pool: p}
+func newConn(raw net.Conn, p *pool, idleFor time.Duration) *conn {
+	return &conn{raw: raw, reader: bufio.NewReader(raw), pool: p, idleFor: idleFor}
+}
+
+// announced takes in the upstream's Keep-Alive header, such as "timeout=5". A
+// part of the time is kept as a margin, for the upstream's clock began earlier.
+func (c *conn) announced(header string) {
+	const margin = 5
+	for part := range strings.SplitSeq(header, ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
+			limit := time.Duration(seconds) * time.Second
+			c.idleFor = min(c.idleFor, limit-limit/margin)
+		}
+	}
 }
 
 func (c *conn) close() {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -90,9 +90,10 @@
 		return nil, x.fail(ctx, err)
 	}
 	if refusal := x.refused(res); refusal != nil {
-		x.end(false)
+		x.endRefused(res)
 		return nil, refusal
 	}
+	x.conn.announced(res.Header.Get("Keep-Alive"))
 	return x.answer(res)
 }
 
@@ -120,36 +121,30 @@
 	x.conn.close()
 }
 
-// refused returns an error for an upstream's documented "not run".
+// refused returns an error for an upstream's word that it did not run the
+// request.
 func (x *exchange) refused(res *http.Response) *Error {
-	if res.StatusCode != http.StatusServiceUnavailable {
+	kind, ok := x.client.cfg.Dialect.Refused(res)
+	if !ok {
 		return nil
 	}
-	e := &Error{notRun: true, step: "upstream's answer", worker: x.worker.ID}
-	switch res.Header.Get(HeaderRefused) {
-	case RefusedShed:
-		e.kind = KindShed
-	case RefusedLeaving:
-		e.kind = KindLeaving
-	default:
-		return nil
-	}
-	return e
+	return &Error{kind: kind, notRun: true, step: "upstream's answer", worker: x.worker.ID, header: res.Header}
 }
 
 func (x *exchange) answer(res *http.Response) (*Answer, error) {
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody {
-		// The end of such a body is the end of the connection, so a broken
-		// answer could not be told from a whole one (RFC 9112, section 6.3).
+	lengthless := res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
+	if lengthless && !x.client.cfg.Dialect.WithoutLength() {
 		x.end(false)
 		return nil, &Error{kind: KindBroken, step: "answer has neither length nor chunks", worker: x.worker.ID}
 	}
-	body := &answerBody{exchange: x, in: res.Body, keep: !res.Close}
+	body := &answerBody{exchange: x, in: res.Body, keep: !res.Close && !lengthless}
 	return &Answer{status: res.StatusCode, header: res.Header, length: res.ContentLength, body: body}, nil
 }
 
-// readHead reads up to the final head, passing over informational ones.
+// readHead reads up to the final head, passing over informational ones and, on
+// a connection that was used before, over late answers to earlier requests.
 func (x *exchange) readHead() (*http.Response, error) {
+	late := 0
 	for {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.req.Method})
 		if err != nil {
@@ -161,8 +156,47 @@
 		if res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		return res, nil
+		if x.client.cfg.Dialect.Belongs(x.req, res) {
+			return res, nil
+		}
+		late++
+		if late > maxLate || passOver(res) != nil {
+			return nil, errForeign
+		}
+	}
+}
+
+// maxLate bounds the late answers that are passed over before one's own.
+const maxLate = 2
+
+// maxDiscard bounds, in bytes, what is read of a body that nobody wants.
+const maxDiscard = 64 << 10
+
+var errForeign = errors.New("the answer belongs to another request")
+
+// passOver reads an answer that belongs to another request to its end.
+func passOver(res *http.Response) error {
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return errForeign
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscard))
+	if err == nil && n == maxDiscard {
+		return errForeign
+	}
+	return err
+}
+
+// endRefused ends an exchange that the upstream refused. The connection is kept
+// if both sides ended in full.
+func (x *exchange) endRefused(res *http.Response) {
+	keep := false
+	select {
+	case <-x.sendDone:
+		keep = x.sendErr == nil && !res.Close && passOver(res) == nil && x.conn.reader.Buffered() == 0
+	default:
 	}
+	x.conn.announced(res.Header.Get("Keep-Alive"))
+	x.end(keep)
 }
 
 // send writes the request. It runs beside readHead, since an upstream may
