--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -72,9 +72,6 @@
 	// Key is a hash of the request's affinity key, if Keyed is set.
 	Key   uint64
 	Keyed bool
-	// Priority is the rank of the request, and Lowest the lowest one of any
-	// route to the service; 0 goes first.
-	Priority, Lowest int
 	// Allows reports whether the request may run in a region. Nil is all.
 	Allows func(region string) bool
 	// Tried are the ids of workers that the request was sent to before.
@@ -182,10 +179,9 @@
 			continue // Another holds the key until this one is warm.
 		}
 		held++
-		room := float64(c.worker.Slots) - reserve(c.worker.Slots, r)
 		busy := p.cfg.Loads.Of(c.worker.ID).Busy()
-		if busy+1 <= room && busy/float64(c.worker.Slots) < least {
-			best, least = c.worker, busy/float64(c.worker.Slots)
+		if busy+1 <= float64(c.worker.Slots) && math.Floor(2*busy/float64(c.worker.Slots)) < least {
+			best, least = c.worker, math.Floor(2*busy/float64(c.worker.Slots))
 		}
 	}
 	switch {
@@ -203,17 +199,6 @@
 	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region}
 }
 
-// reserve is the room that is kept from a request for more urgent ones.
-func reserve(slots int, r Request) float64 {
-	if r.Priority >= r.Lowest && r.Lowest > 0 && slots > 1 {
-		return min(1, float64(slots)/reservePart)
-	}
-	return 0
-}
-
-// reservePart of a worker's slots is kept from the least urgent requests.
-const reservePart = 6
-
 // mix spreads the bits of a number over all others.
 func mix(h uint64) uint64 {
 	h ^= h >> 32
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -61,7 +61,7 @@
 	Number int
 	// MaxTries bounds the tries of this request; 0 is the budget's bound.
 	MaxTries int
-	Cause  Cause
+	Cause    Cause
 	// NotRun is set if it is certain that no upstream began to run it.
 	NotRun bool
 	// Repeatable is set if running it twice does no harm.
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -90,7 +90,6 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route // by host, then by prefix
 	services map[string]Service
-	ranks    map[string][]int // by service: the highest and lowest rank of its routes
 }
 
 // NewTable returns a table. Of two routes with one host and prefix the first is
@@ -100,7 +99,6 @@
 		version: cfg.Version, limits: cfg.Limits,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]Service, len(cfg.Services)),
-		ranks:    make(map[string][]int),
 	}
 	for _, s := range cfg.Services {
 		t.services[s.Name] = s
@@ -108,7 +106,6 @@
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		r.MaxAttempts = max(r.MaxAttempts, 1)
-		t.rank(r)
 		host := strings.ToLower(r.Host)
 		prefixes, ok := t.hosts[host]
 		if !ok {
@@ -122,28 +119,6 @@
 	return t
 }
 
-// rank notes the rank of a route for its services. A service with routes of one
-// rank alone has no lowest one.
-func (t *Table) rank(r *Route) {
-	for _, target := range r.Targets {
-		ranks := t.ranks[target.Service]
-		if len(ranks) == 0 {
-			ranks = []int{r.Priority, r.Priority}
-		}
-		t.ranks[target.Service] = []int{min(ranks[0], r.Priority), max(ranks[1], r.Priority)}
-	}
-}
-
-// LowestPriority returns the lowest rank of any route to a service, which is
-// the greatest number, or 0 if all routes to it have one rank.
-func (t *Table) LowestPriority(service string) int {
-	ranks := t.ranks[service]
-	if len(ranks) == 0 || ranks[0] == ranks[1] {
-		return 0
-	}
-	return ranks[1]
-}
-
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -31,18 +31,19 @@
 
 // run tries workers until one answers or no other try is allowed.
 func (q *request) run(ctx context.Context) {
+	var next *placement.Choice
 	for number := 1; ; number++ {
 		s := q.handler.cfg.Snapshot()
-		if _, ok := s.Routes.Service(q.service); !ok && !q.mayHaveRun {
-			q.refuse(reasonMoved)
-			return
-		}
-		choice, refusal := q.handler.cfg.Placer.Place(s, q.placement(s))
-		if refusal != placement.RefusalNone {
-			q.refusePlacement(refusal, number)
-			return
+		if next == nil {
+			choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
+			if refusal != placement.RefusalNone {
+				q.refusePlacement(refusal, number)
+				return
+			}
+			next = &choice
 		}
-		failed := q.try(ctx, s, choice, number)
+		var failed *failure
+		failed, next = q.try(ctx, s, *next, number)
 		if failed == nil {
 			return
 		}
@@ -52,8 +53,10 @@
 			q.abort(reasonBroken, failed.err)
 			return
 		}
+		if next != nil {
+			continue // Decided while the worker was silent.
+		}
 		verdict := q.decide(ctx, failed, number)
-		q.handler.cfg.Metrics.Retry(string(failed.cause), string(verdict))
 		if !verdict.Again() {
 			q.fail(ctx, failed, verdict)
 			return
@@ -61,23 +64,25 @@
 	}
 }
 
-func (q *request) placement(s *placement.Snapshot) placement.Request {
+func (q *request) placement() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
-		Priority: q.route.Priority, Lowest: s.Routes.LowestPriority(q.service),
 		Allows: q.route.AllowsRegion, Tried: q.tried,
 	}
 }
 
 func (q *request) decide(ctx context.Context, f *failure, number int) retry.Verdict {
-	return q.handler.budget(q.service).Decide(retry.Try{
+	verdict := q.handler.budget(q.service).Decide(retry.Try{
 		Number: number, MaxTries: q.route.MaxAttempts, Cause: f.cause, NotRun: f.notRun,
 		Repeatable: q.route.Repeatable, BodyGone: q.body.gone, Expired: ctx.Err() != nil,
 	})
+	q.handler.cfg.Metrics.Retry(string(f.cause), string(verdict))
+	return verdict
 }
 
-// try sends the request to one worker and passes its answer on.
-func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) *failure {
+// try sends the request to one worker and passes its answer on. After a failure
+// it may return the worker that is to be tried next.
+func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) (*failure, *placement.Choice) {
 	w := c.Worker()
 	q.tried = append(q.tried, w.ID)
 	load := c.Load()
@@ -86,9 +91,12 @@
 	defer cancel(nil)
 	stopWaiting := q.grantPatience(ctx, cancel, number)
 	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
-	stopWaiting()
+	next := stopWaiting()
 	if err != nil {
-		return q.judge(ctx, c, err)
+		return q.judge(ctx, c, err), next
+	}
+	if next != nil {
+		next.Load().End() // The answer came at the last moment.
 	}
 	defer answer.Close()
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
@@ -96,26 +104,52 @@
 	}
 	if err := q.passOn(answer); err != nil {
 		load.Failed()
-		return &failure{cause: retry.CauseBroken, err: err}
+		return &failure{cause: retry.CauseBroken, err: err}, nil
 	}
 	load.Answered()
-	return nil
+	return nil, nil
 }
 
 // grantPatience gives up a try of a repeatable request when its worker has been
-// silent for long and another try is allowed. The returned function ends that.
-func (q *request) grantPatience(ctx context.Context, cancel context.CancelCauseFunc, number int) func() {
+// silent for long, another try is allowed, and another worker has room. A
+// stopping VM waits on: what its workers are at work on is not broken off. The
+// returned function ends the wait and returns the worker to be tried next, if
+// the try was given up.
+func (q *request) grantPatience(ctx context.Context, cancel context.CancelCauseFunc, number int) func() *placement.Choice {
 	if !q.route.Repeatable || number >= q.route.MaxAttempts || q.body.rest != nil {
-		return func() {}
+		return func() *placement.Choice { return nil }
 	}
-	left := time.Until(q.until)
-	timer := time.AfterFunc(time.Duration(float64(left)*impatience), func() {
-		f := &failure{cause: retry.CauseBroken}
-		if q.decide(ctx, f, number).Again() {
+	var next *placement.Choice
+	done := make(chan struct{})
+	timer := time.AfterFunc(time.Duration(float64(time.Until(q.until))*impatience), func() {
+		defer close(done)
+		if next = q.nextWorker(ctx, number); next != nil {
 			cancel(errImpatient)
 		}
 	})
-	return func() { timer.Stop() }
+	return func() *placement.Choice {
+		if !timer.Stop() {
+			<-done
+		}
+		return next
+	}
+}
+
+// nextWorker finds a worker for another try, if one is allowed.
+func (q *request) nextWorker(ctx context.Context, number int) *placement.Choice {
+	if q.handler.stopping.Load() {
+		return nil
+	}
+	s := q.handler.cfg.Snapshot()
+	choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
+	if refusal != placement.RefusalNone {
+		return nil
+	}
+	if !q.decide(ctx, &failure{cause: retry.CauseBroken}, number).Again() {
+		choice.Load().End()
+		return nil
+	}
+	return &choice
 }
 
 func (q *request) target(s *placement.Snapshot, c placement.Choice) upstream.Worker {
