gateway: one watcher a region tells the others, and every VM calls the store itself once its replica is too old

Weighed: an elected watcher (needs agreement), stale reads (may be seconds old). Change: the VMs of a region ask one of them, found by hashing, for news; being asked makes a VM watch. Each answer says how old the teller's own knowledge is, so a frozen, cut or dead teller shows as age, and at 1.7 s a VM asks the store itself: the bound of 2.5 s rests on no peer.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -40,6 +40,7 @@
 
 func (g *Gateway) compile(now time.Time) {
 	c := &g.compiler
+	g.compileMembers()
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.At(g.cfg.Codec.WorkerKind())
 	_, closedKnown := g.replica.At(g.cfg.Codec.ClosedKind())
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -97,15 +97,20 @@
 	Log          logr.Logger
 	Metrics      *metrics.Set
 
-	// WatchHold is how long the store holds a watch. Default 2.5 s.
+	// WatchHold is how long the store holds a watch. Default 1 s.
 	WatchHold time.Duration
+	// StaleAfter is the age at which a VM calls the store itself, if no peer
+	// has confirmed what it believes. Every change is in force within this
+	// time and that of a call. It must be above WatchHold. Default 1.7 s.
+	StaleAfter time.Duration
 	// ProbeInterval is the time between two probes. Default 500 ms.
 	ProbeInterval time.Duration
 }
 
 // Defaults of the intervals.
 const (
-	DefaultWatchHold     = 2500 * time.Millisecond
+	DefaultWatchHold     = time.Second
+	DefaultStaleAfter    = 1700 * time.Millisecond
 	DefaultProbeInterval = 500 * time.Millisecond
 )
 
@@ -113,6 +118,9 @@
 	if c.WatchHold <= 0 {
 		c.WatchHold = DefaultWatchHold
 	}
+	if c.StaleAfter <= 0 {
+		c.StaleAfter = DefaultStaleAfter
+	}
 	if c.ProbeInterval <= 0 {
 		c.ProbeInterval = DefaultProbeInterval
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	workerIdle = 8 * time.Second
 	// onceIdle is for how long it is good for a request that runs only once.
 	onceIdle = 2 * time.Second
+	// peersFirst is how long a VM that starts waits for its peers' word.
+	peersFirst = 600 * time.Millisecond
 	// retryPart of the allowed ratio is used: a VM cannot tell requests that
 	// other VMs count from those in flight to it.
 	retryPart = 0.7
@@ -81,6 +83,7 @@
 	front     *http.Server
 	peerSide  net.Listener
 	pulling   sync.Mutex
+	watchers  *watchers
 	failed    chan error
 }
 
@@ -96,7 +99,7 @@
 		self:    peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
 		replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
-		failed:   make(chan error, 1),
+		failed:   make(chan error, 1), watchers: newWatchers(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -213,13 +216,33 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.seedLoop}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop}
 	for _, kind := range g.watchedKinds() {
-		loops = append(loops, func(ctx context.Context) { g.watchLoop(ctx, kind) })
+		loops = append(loops, func(ctx context.Context) {
+			g.waitForPeers(ctx)
+			g.watchLoop(ctx, kind)
+		})
 	}
 	return loops
 }
 
+// waitForPeers gives the peers of the settings a moment to tell a VM that
+// starts what they know, before the store is asked.
+func (g *Gateway) waitForPeers(ctx context.Context) {
+	if len(g.cfg.Seeds) == 0 || slices.Contains(g.cfg.Seeds, g.cfg.Peer) {
+		return
+	}
+	for waited := time.Duration(0); waited < peersFirst && g.snapshot.Load() == nil && ctx.Err() == nil; waited += seedInterval {
+		sleep(ctx, seedInterval)
+	}
+}
+
+// replicatedKinds are the kinds that VMs tell each other of.
+func (g *Gateway) replicatedKinds() []string {
+	return append(g.watchedKinds(), g.cfg.Codec.MemberKind())
+}
+
+// watchedKinds are the kinds whose changes must be in force soon.
 func (g *Gateway) watchedKinds() []string {
 	return []string{g.cfg.Codec.ConfigKind(), g.cfg.Codec.WorkerKind(), g.cfg.Codec.ClosedKind()}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,8 +18,7 @@
 
 const (
 	probeTimeout = 800 * time.Millisecond
-	pullTimeout  = 2 * time.Second
-	seedInterval = 500 * time.Millisecond
+	seedInterval = 100 * time.Millisecond
 )
 
 // probeLoop probes members and moves their states on.
@@ -66,7 +65,7 @@
 
 func (g *Gateway) replicaRevisions() map[string]uint64 {
 	revisions := make(map[string]uint64)
-	for _, kind := range g.watchedKinds() {
+	for _, kind := range g.replicatedKinds() {
 		if at, ok := g.replica.At(kind); ok {
 			revisions[kind] = at
 		}
@@ -84,7 +83,7 @@
 		}
 	}
 	g.members.Heard(news)
-	for _, kind := range g.watchedKinds() {
+	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.At(kind)
 		if theirs := p.GetReplicas()[kind]; theirs > at || !known && theirs > 0 {
 			go g.pull(from)
@@ -100,25 +99,17 @@
 		return
 	}
 	defer g.pulling.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: &peerpb.Sync{Since: g.replicaRevisions()}}}
-	reply, err := g.peers.Call(ctx, from, message)
-	g.cfg.Metrics.PeerCall("sync", err)
-	if err != nil {
-		return
-	}
-	for _, d := range reply.GetSynced().GetDeltas() {
-		g.replica.Merge(fromDelta(d))
+	if err := g.askNews(context.Background(), from, 0); err != nil {
+		g.log.V(1).Info("peer: news not had", "peer", from.VM, "error", err.Error())
 	}
 }
 
-// seedLoop asks the peers of the settings while nothing is known of the store.
-func (g *Gateway) seedLoop(ctx context.Context) {
-	sleep(ctx, seedInterval)
+// startLoop asks the peers of the settings for what they know, until something
+// is known. It saves the store most of the calls of a start, and is all there
+// is while the store is away.
+func (g *Gateway) startLoop(ctx context.Context) {
 	for i := 0; ctx.Err() == nil && g.snapshot.Load() == nil && len(g.cfg.Seeds) > 0; i++ {
-		seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]
-		if seed != g.cfg.Peer {
+		if seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]; seed != g.cfg.Peer {
 			g.pull(peer.Target{Address: seed})
 		}
 		sleep(ctx, seedInterval)
@@ -126,7 +117,7 @@
 }
 
 // handlePeer serves one stream that another VM opened.
-func (g *Gateway) handlePeer(_ context.Context, from peer.Identity, s *peer.Stream, first *peerpb.Envelope) {
+func (g *Gateway) handlePeer(ctx context.Context, from peer.Identity, s *peer.Stream, first *peerpb.Envelope) {
 	var reply *peerpb.Envelope
 	switch k := first.GetKind().(type) {
 	case *peerpb.Envelope_Probe:
@@ -137,7 +128,7 @@
 		}
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: g.probeMessage(from.VM)}}
 	case *peerpb.Envelope_Sync:
-		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: g.synced(k.Sync)}}
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: g.tell(ctx, k.Sync)}}
 	default:
 		g.log.Info("peer: a stream cannot begin with this message", "peer", from.VM, "message", errors.Newf("%T", k).Error())
 		return
@@ -157,17 +148,6 @@
 	return ""
 }
 
-func (g *Gateway) synced(ask *peerpb.Sync) *peerpb.Synced {
-	answer := &peerpb.Synced{}
-	for _, kind := range g.watchedKinds() {
-		since, known := ask.GetSince()[kind]
-		if d, ok := g.replica.Since(kind, since, known); ok {
-			answer.Deltas = append(answer.Deltas, toDelta(d))
-		}
-	}
-	return answer
-}
-
 // allowPeer refuses a VM that names a hall the fleet does not have.
 func (g *Gateway) allowPeer(id peer.Identity) error {
 	if _, ok := g.cfg.Halls[id.Hall]; !ok || !spec.ValidName(id.VM) {
--- /dev/null
+++ b/internal/gateway/teller.go
@@ -0,0 +1,213 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/assign"
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+const (
+	// askHold is how long a watcher may hold the question for news back.
+	askHold = 500 * time.Millisecond
+	// askGrace is how much longer the answer may take before another VM is
+	// asked.
+	askGrace = 400 * time.Millisecond
+	// avoidFor is for how long a VM that did not answer is not asked.
+	avoidFor = 3 * time.Second
+	// askedFor is for how long after a question a VM goes on watching.
+	askedFor = 2 * time.Second
+	// noWatcher is the wait before the next look for a VM to ask.
+	noWatcher = 250 * time.Millisecond
+)
+
+// watchers is who watches the store for whom. In each region the VMs ask one of
+// them for news, the same one as long as they see the same VMs; being asked
+// makes a VM watch. Nobody has to agree on who that is: two watchers cost a few
+// calls more, and where there is none each VM calls the store itself once its
+// replica is too old.
+type watchers struct {
+	mu      sync.Mutex
+	asked   time.Time // when another VM last asked this one
+	chosen  bool      // this VM is its own first choice
+	wake    chan struct{}
+	avoided map[string]time.Time
+}
+
+func newWatchers() *watchers {
+	return &watchers{wake: make(chan struct{}), avoided: make(map[string]time.Time)}
+}
+
+// watches reports whether this VM watches the store.
+func (g *Gateway) watches() bool {
+	w := g.watchers
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chosen || time.Since(w.asked) < askedFor
+}
+
+// askedToWatch returns a channel that is closed once this VM is to watch.
+func (g *Gateway) askedToWatch() <-chan struct{} {
+	g.watchers.mu.Lock()
+	defer g.watchers.mu.Unlock()
+	return g.watchers.wake
+}
+
+// ask notes that another VM asks, or that this one is its own choice.
+func (w *watchers) ask(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked = now
+	w.signal()
+}
+
+func (w *watchers) choose(self bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.chosen = self
+	if self {
+		w.signal()
+	}
+}
+
+func (w *watchers) signal() {
+	close(w.wake)
+	w.wake = make(chan struct{})
+}
+
+func (w *watchers) avoid(id string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.avoided[id] = now.Add(avoidFor)
+}
+
+func (w *watchers) avoids(id string, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	until, ok := w.avoided[id]
+	if ok && !now.Before(until) {
+		delete(w.avoided, id)
+		return false
+	}
+	return ok
+}
+
+// watcher returns the VM of this region that is to be asked for news; it may be
+// this one.
+func (g *Gateway) watcher(now time.Time) membership.Member {
+	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
+	ids := []string{g.cfg.VM}
+	for _, m := range g.live() {
+		if m.ID != g.cfg.VM && g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoids(m.ID, now) {
+			candidates[m.ID] = m
+			ids = append(ids, m.ID)
+		}
+	}
+	slices.Sort(ids)
+	return candidates[assign.Top("watcher/"+g.region(), ids, 1)[0]]
+}
+
+// askLoop asks the region's watcher for news, again and again.
+func (g *Gateway) askLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		m := g.watcher(now)
+		g.watchers.choose(m.ID == g.cfg.VM && g.snapshot.Load() != nil)
+		if m.ID == g.cfg.VM {
+			sleep(ctx, noWatcher)
+			continue
+		}
+		if err := g.askNews(ctx, peer.Target{VM: m.ID, Address: m.Peer}, askHold); err != nil {
+			g.watchers.avoid(m.ID, now)
+			g.log.Info("watchers: one does not answer", "peer", m.ID, "error", err.Error())
+		}
+	}
+}
+
+// askNews asks a VM for what this one lacks. What it confirms is at least as
+// new as the moment at which it answered, less the age that it gives; that
+// moment is not before the question was sent plus the time it was held.
+func (g *Gateway) askNews(ctx context.Context, from peer.Target, hold time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, hold+askGrace)
+	defer cancel()
+	sent := time.Now()
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: &peerpb.Sync{
+		Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds()),
+	}}}
+	reply, err := g.peers.Call(ctx, from, message)
+	g.cfg.Metrics.PeerCall("sync", err)
+	if err != nil {
+		return err
+	}
+	answer := reply.GetSynced()
+	for _, d := range answer.GetDeltas() {
+		g.replica.Merge(fromDelta(d))
+	}
+	answered := sent.Add(time.Duration(answer.GetHeldMillis()) * time.Millisecond)
+	for kind, age := range answer.GetAgeMillis() {
+		if at, known := g.replica.At(kind); known && at >= answeredAt(answer, kind, at) {
+			g.replica.Confirm(kind, answered.Add(-time.Duration(age)*time.Millisecond))
+		}
+	}
+	return nil
+}
+
+// answeredAt returns the revision that an answer brings a kind to, or the one
+// given if it brings nothing.
+func answeredAt(answer *peerpb.Synced, kind string, at uint64) uint64 {
+	for _, d := range answer.GetDeltas() {
+		if d.GetKind() == kind {
+			return d.GetAt()
+		}
+	}
+	return at
+}
+
+// tell answers a VM that asks for news, at the latest after the time that it
+// allows.
+func (g *Gateway) tell(ctx context.Context, ask *peerpb.Sync) *peerpb.Synced {
+	if ask.GetHoldMillis() > 0 {
+		g.watchers.ask(time.Now())
+	}
+	asked := time.Now()
+	hold := min(time.Duration(ask.GetHoldMillis())*time.Millisecond, askHold)
+	deadline := time.NewTimer(hold)
+	defer deadline.Stop()
+	for {
+		changed := g.replica.Changed()
+		if answer := g.synced(ask); len(answer.GetDeltas()) > 0 || time.Since(asked) >= hold {
+			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
+			return answer
+		}
+		select {
+		case <-ctx.Done():
+			return &peerpb.Synced{}
+		case <-changed:
+		case <-deadline.C:
+		}
+	}
+}
+
+// synced returns what a VM lacks, and how old this VM's own knowledge is.
+func (g *Gateway) synced(ask *peerpb.Sync) *peerpb.Synced {
+	answer := &peerpb.Synced{AgeMillis: make(map[string]uint32)}
+	for _, kind := range g.replicatedKinds() {
+		// The age is taken first: what is told next is at least as new.
+		if confirmed := g.replica.Confirmed(kind); !confirmed.IsZero() {
+			answer.AgeMillis[kind] = uint32(time.Since(confirmed).Milliseconds()) + 1
+		}
+		since, known := ask.GetSince()[kind]
+		if d, ok := g.replica.Since(kind, since, known); ok {
+			answer.Deltas = append(answer.Deltas, toDelta(d))
+		}
+	}
+	return answer
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -16,28 +16,38 @@
 const (
 	// firstRetry and longestRetry bound the wait after a failed call.
 	firstRetry   = 100 * time.Millisecond
-	longestRetry = time.Second
-	// memberInterval is how often the list of VMs is read, as a stale one.
+	longestRetry = 600 * time.Millisecond
+	// memberInterval is how often a watcher reads the list of VMs, as a stale
+	// one.
 	memberInterval = 10 * time.Second
 	// firstMembers is when it is read for the second time: by then the VMs
 	// that started together are in it.
 	firstMembers = time.Second
+	// gather is how long a watcher waits after news before it watches again,
+	// so that changes which come close together cost one call.
+	gather = 100 * time.Millisecond
+	// atOnce is the hold of a watch that only asks for what has changed.
+	atOnce = time.Millisecond
 )
 
-// watchLoop keeps the replica of one kind up to date.
+// watchLoop keeps the replica of one kind up to date: by a watch that the store
+// holds while other VMs ask this one, else by a call of its own whenever nobody
+// has confirmed for too long that the replica is complete.
 func (g *Gateway) watchLoop(ctx context.Context, kind string) {
-	failures := 0
-	listed := false
+	failures, forgotten := 0, false
 	for ctx.Err() == nil {
-		err := g.follow(ctx, kind, listed)
+		hold, due := g.dueCall(kind)
+		if !due {
+			g.waitDue(ctx, kind)
+			continue
+		}
+		err := g.follow(ctx, kind, hold, forgotten)
+		forgotten = errors.Is(err, ErrForgotten)
 		switch {
-		case err == nil:
-			if failures > 0 || !listed {
-				g.log.Info("store: answers", "kind", kind, "failures", failures)
-			}
-			failures, listed = 0, true
-		case errors.Is(err, ErrForgotten):
-			listed = false
+		case err == nil && failures > 0:
+			g.log.Info("store: answers again", "kind", kind, "failures", failures)
+			failures = 0
+		case err == nil || forgotten:
 		default:
 			if failures == 0 {
 				g.log.Info("store: does not answer", "kind", kind, "error", err.Error())
@@ -48,10 +58,36 @@
 	}
 }
 
-// follow does one call: a list, or a watch of what has been listed.
-func (g *Gateway) follow(ctx context.Context, kind string, listed bool) error {
+// dueCall says whether the store is to be called for a kind now, and for how
+// long it may hold the call.
+func (g *Gateway) dueCall(kind string) (time.Duration, bool) {
+	switch {
+	case g.watches():
+		return g.cfg.WatchHold, true
+	case time.Since(g.replica.Confirmed(kind)) >= g.cfg.StaleAfter:
+		return atOnce, true
+	}
+	return 0, false
+}
+
+// waitDue waits until the replica of a kind has become too old, or this VM is
+// asked to watch.
+func (g *Gateway) waitDue(ctx context.Context, kind string) {
+	wait := g.cfg.StaleAfter - time.Since(g.replica.Confirmed(kind))
+	timer := time.NewTimer(max(wait, time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.askedToWatch():
+	}
+}
+
+// follow does one call: a watch of what is known, or a list.
+func (g *Gateway) follow(ctx context.Context, kind string, hold time.Duration, list bool) error {
+	since, known := g.replica.At(kind)
 	asked := time.Now()
-	if !listed {
+	if !known || list {
 		objects, at, err := g.cfg.Store.List(ctx, kind, false)
 		if err == nil {
 			g.replica.Reset(kind, objects, at)
@@ -59,13 +95,21 @@
 		}
 		return err
 	}
-	since, _ := g.replica.At(kind)
-	events, at, err := g.cfg.Store.Watch(ctx, kind, since, g.cfg.WatchHold)
+	events, at, err := g.cfg.Store.Watch(ctx, kind, since, hold)
 	if err != nil {
 		return err
 	}
 	g.replica.Apply(kind, since, events, at)
-	g.replica.Confirm(kind, asked)
+	confirmed := asked
+	if len(events) == 0 && hold > atOnce {
+		// The store held the call for all of its time, and then said that
+		// nothing had changed.
+		confirmed = asked.Add(min(hold, time.Since(asked)))
+	}
+	g.replica.Confirm(kind, confirmed)
+	if len(events) > 0 {
+		sleep(ctx, gather)
+	}
 	return nil
 }
 
@@ -76,7 +120,8 @@
 	return longest/2 + rand.N(longest/2)
 }
 
-// memberLoop writes this VM's own entry once and reads those of the others.
+// memberLoop writes this VM's own entry once, and reads those of the others
+// while it watches for them.
 func (g *Gateway) memberLoop(ctx context.Context) {
 	kind := g.cfg.Codec.MemberKind()
 	entry, err := g.cfg.Codec.EncodeMember(g.vm())
@@ -90,17 +135,26 @@
 		}
 		sleep(ctx, backoff(failures))
 	}
-	wait, failures := firstMembers, 0
+	wait := firstMembers
 	for ctx.Err() == nil {
-		objects, at, err := g.cfg.Store.List(ctx, kind, wait == memberInterval)
-		if err != nil {
-			failures++
-			sleep(ctx, backoff(failures))
+		if _, known := g.replica.At(kind); known && !g.watches() {
+			sleep(ctx, firstMembers)
+			continue
+		}
+		if objects, at, err := g.cfg.Store.List(ctx, kind, wait == memberInterval); err == nil {
+			g.replica.Reset(kind, objects, at)
+			sleep(ctx, wait)
+			wait = memberInterval
 			continue
 		}
-		failures = 0
-		g.members.SetList(spec.VMList{Version: at, VMs: g.cfg.Codec.Members(objects)})
-		sleep(ctx, wait)
-		wait = memberInterval
+		sleep(ctx, longestRetry)
+	}
+}
+
+// compileMembers takes in the list of VMs.
+func (g *Gateway) compileMembers() {
+	kind := g.cfg.Codec.MemberKind()
+	if at, known := g.replica.At(kind); known {
+		g.members.SetList(spec.VMList{Version: at, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -32,6 +32,7 @@
 		duration("max-ttl", "longest time that the directory's answers may hold", 5*time.Second),
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "part of the requests that all VMs together may send again", Sources: env("retry-ratio")},
 		duration("watch-hold", "time that the store holds a watch", gateway.DefaultWatchHold),
+		duration("stale-after", "age of what is believed at which a VM calls the store itself", gateway.DefaultStaleAfter),
 		duration("probe-interval", "time between two probes of other VMs", gateway.DefaultProbeInterval),
 		&cli.BoolFlag{Name: "verbose", Usage: "log what helps to find a fault", Sources: env("verbose")},
 		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -49,7 +50,7 @@
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
 		},
-		WatchHold: c.Duration("watch-hold"), ProbeInterval: c.Duration("probe-interval"),
+		WatchHold: c.Duration("watch-hold"), StaleAfter: c.Duration("stale-after"), ProbeInterval: c.Duration("probe-interval"),
 	}
 	for seed := range strings.SplitSeq(c.String("seeds"), ",") {
 		if seed = strings.TrimSpace(seed); seed != "" {
