object, route, worker, placement: tests; keys given to other regions stay where they are

Cause: a test showed that losing one of 24 workers moved 16 % of a region's keys: the same hash decided what is kept and where the rest goes, so a change of the first shifted the second. Change: a hash of its own; under 15 % now.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -23,7 +23,6 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -166,7 +165,7 @@
 func (p *Placer) choose(s *Snapshot, r Request, workers []worker.Worker, region string) (Choice, Refusal) {
 	now := p.cfg.Now()
 	service, _ := s.Routes.Service(r.Service)
-	best, least, held, cold := worker.Worker{}, math.Inf(1), 0, false
+	best, least, held, cold := worker.Worker{}, maxPressure, 0, false
 	for _, c := range ranked(workers, region, r.Key) {
 		if held == holders {
 			break
@@ -179,13 +178,12 @@
 			continue // Another holds the key until this one is warm.
 		}
 		held++
-		busy := p.cfg.Loads.Of(c.worker.ID).Busy()
-		if busy+1 <= float64(c.worker.Slots) && math.Floor(2*busy/float64(c.worker.Slots)) < least {
-			best, least = c.worker, math.Floor(2*busy/float64(c.worker.Slots))
+		if pressure := p.pressure(c.worker); pressure < least {
+			best, least = c.worker, pressure
 		}
 	}
 	switch {
-	case !math.IsInf(least, 1):
+	case least < maxPressure:
 		return p.take(best), RefusalNone
 	case held == 0 && cold:
 		return Choice{}, RefusalCold
@@ -193,6 +191,23 @@
 	return Choice{}, RefusalBusy
 }
 
+// maxPressure is the pressure of a worker without room.
+const maxPressure = 2
+
+// pressure is 0 while a worker has less than half of its slots busy, 1 while it
+// has room, and maxPressure else. The steps keep a key on its first holder as
+// long as that is not pressed: a second holder costs a cold answer for each key.
+func (p *Placer) pressure(w worker.Worker) int {
+	busy, slots := p.cfg.Loads.Of(w.ID).Busy(), float64(w.Slots)
+	switch {
+	case busy+1 > slots:
+		return maxPressure
+	case busy >= slots/2:
+		return 1
+	}
+	return 0
+}
+
 func (p *Placer) take(w worker.Worker) Choice {
 	load := p.cfg.Loads.Of(w.ID)
 	load.Begin()
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,338 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+// alone is a VM that knows no others.
+type alone struct{}
+
+func (alone) Live(string) ([]string, int) { return []string{"vm"}, 1 }
+
+type fixture struct {
+	clock    *clockwork.FakeClock
+	loads    *worker.Loads
+	placer   *placement.Placer
+	snapshot *placement.Snapshot
+}
+
+// newFixture has a VM in region north and workers by region; there are two
+// halls in each region.
+func newFixture(counts map[string]int, change func(*worker.Worker)) *fixture {
+	f := &fixture{clock: clockwork.NewFakeClock()}
+	f.loads = worker.NewLoads(f.clock.Now)
+	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: alone{}, Now: f.clock.Now})
+	f.placer = placement.New(placement.Config{Region: "north", Loads: f.loads, Cold: cold, Now: f.clock.Now})
+	var workers []worker.Worker
+	for region, n := range counts {
+		for i := range n {
+			w := worker.Worker{ID: fmt.Sprintf("%s-%d", region, i), Service: "read", Hall: fmt.Sprintf("%s-%c", region, 'a'+i%2), Region: region, Slots: 4}
+			if change != nil {
+				change(&w)
+			}
+			workers = append(workers, w)
+		}
+	}
+	f.snapshot = &placement.Snapshot{
+		Routes:  route.NewTable(route.Config{Services: []route.Service{{Name: "read", ColdRate: 10}}}),
+		Workers: worker.NewSet(workers), Regions: []string{"east", "north", "south"},
+	}
+	return f
+}
+
+func request(key uint64) placement.Request {
+	return placement.Request{Service: "read", Key: key, Keyed: true}
+}
+
+// share returns the part of many keys that each region gets.
+func (f *fixture) share(r placement.Request) map[string]float64 {
+	const keys = 4000
+	share := make(map[string]float64)
+	for key := range uint64(keys) {
+		r.Key = key
+		if c, refusal := f.placer.Place(f.snapshot, r); refusal == placement.RefusalNone {
+			share[c.Worker().Region] += 1.0 / keys
+			c.Load().End()
+		}
+	}
+	return share
+}
+
+func TestKeysStay(t *testing.T) {
+	Convey("With eight workers at home", t, func() {
+		f := newFixture(map[string]int{"north": 8, "south": 8, "east": 8}, nil)
+		first, _ := f.placer.Place(f.snapshot, request(7))
+		Convey("a key stays on one worker while that is under half busy", func() {
+			second, _ := f.placer.Place(f.snapshot, request(7))
+			So(second.Worker().ID, ShouldEqual, first.Worker().ID)
+		})
+		Convey("then goes to one other, and is refused once both are full", func() {
+			seen := map[string]int{first.Worker().ID: 1}
+			var refusal placement.Refusal
+			for range 10 {
+				c, r := f.placer.Place(f.snapshot, request(7))
+				if refusal = r; r != placement.RefusalNone {
+					break
+				}
+				seen[c.Worker().ID]++
+			}
+			So(refusal, ShouldEqual, placement.RefusalBusy)
+			So(seen, ShouldHaveLength, 2)
+			for _, n := range seen {
+				So(n, ShouldEqual, 4)
+			}
+		})
+		Convey("a worker that was tried is not chosen again", func() {
+			r := request(7)
+			r.Tried = []string{first.Worker().ID}
+			c, _ := f.placer.Place(f.snapshot, r)
+			So(c.Worker().ID, ShouldNotEqual, first.Worker().ID)
+		})
+		Convey("a worker that failed is passed over, unless nothing else is there", func() {
+			first.Load().Failed()
+			c, _ := f.placer.Place(f.snapshot, request(7))
+			So(c.Worker().ID, ShouldNotEqual, first.Worker().ID)
+			for i := range 8 {
+				f.loads.Of(fmt.Sprintf("north-%d", i)).Failed()
+				f.loads.Of(fmt.Sprintf("south-%d", i)).Failed()
+				f.loads.Of(fmt.Sprintf("east-%d", i)).Failed()
+			}
+			_, refusal := f.placer.Place(f.snapshot, request(7))
+			So(refusal, ShouldEqual, placement.RefusalNone)
+		})
+	})
+}
+
+func TestWhoGetsNothing(t *testing.T) {
+	cases := map[string]func(*worker.Worker){
+		"leaving":        func(w *worker.Worker) { w.Leaving = w.ID == "north-0" },
+		"closed hall":    func(w *worker.Worker) { w.Hall = map[bool]string{true: "shut", false: w.Hall}[w.ID == "north-0"] },
+		"other service":  func(w *worker.Worker) { w.Service = map[bool]string{true: "pay", false: "read"}[w.ID == "north-0"] },
+		"not its region": func(w *worker.Worker) { w.Region = map[bool]string{true: "south", false: w.Region}[w.ID == "north-0"] },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(map[string]int{"north": 3}, change)
+			f.snapshot.Closed = map[string]bool{"shut": true}
+			r := request(0)
+			r.Allows = func(region string) bool { return region == "north" }
+			for key := range uint64(500) {
+				r.Key = key
+				c, refusal := f.placer.Place(f.snapshot, r)
+				if refusal != placement.RefusalNone {
+					t.Fatal(refusal)
+				}
+				if c.Worker().ID == "north-0" {
+					t.Fatal("it was chosen")
+				}
+				c.Load().End()
+			}
+		})
+	}
+}
+
+func TestRegionsShare(t *testing.T) {
+	Convey("A region", t, func() {
+		Convey("with its share of the slots keeps all its keys", func() {
+			f := newFixture(map[string]int{"north": 8, "south": 8, "east": 8}, nil)
+			So(f.share(request(0))["north"], ShouldAlmostEqual, 1, 1e-9)
+		})
+		Convey("with a quarter of its share gives the rest in proportion to what others have beyond theirs", func() {
+			f := newFixture(map[string]int{"north": 2, "south": 12, "east": 10}, nil)
+			share := f.share(request(0))
+			So(share["north"], ShouldAlmostEqual, 0.25, 0.03)
+			So(share["south"], ShouldAlmostEqual, 0.50, 0.03)
+			So(share["east"], ShouldAlmostEqual, 0.25, 0.03)
+		})
+		Convey("without any worker gives all", func() {
+			f := newFixture(map[string]int{"south": 6, "east": 6}, nil)
+			share := f.share(request(0))
+			So(share["south"]+share["east"], ShouldAlmostEqual, 1, 1e-9)
+			So(share["south"], ShouldAlmostEqual, 0.5, 0.03)
+		})
+		Convey("gives nothing to a region that is no home of the requests", func() {
+			f := newFixture(map[string]int{"north": 2, "south": 12, "east": 10}, nil)
+			r := request(0)
+			r.Allows = func(region string) bool { return region == "south" }
+			share := f.share(r)
+			So(share["south"], ShouldAlmostEqual, 1, 1e-9)
+		})
+		Convey("moves few keys when one worker goes", func() {
+			before := newFixture(map[string]int{"north": 4, "south": 10, "east": 10}, nil)
+			after := newFixture(map[string]int{"north": 3, "south": 10, "east": 10}, nil)
+			moved := 0
+			for key := range uint64(2000) {
+				a, _ := before.placer.Place(before.snapshot, request(key))
+				b, _ := after.placer.Place(after.snapshot, request(key))
+				if a.Worker().Region != b.Worker().Region {
+					moved++
+				}
+				a.Load().End()
+				b.Load().End()
+			}
+			So(moved, ShouldBeLessThan, 2000*15/100)
+		})
+	})
+}
+
+func TestSplit(t *testing.T) {
+	cases := map[string]struct {
+		weights []float64
+		keys    int
+	}{
+		"nine to one, many keys":  {[]float64{90, 10}, 1000},
+		"nine to one, few keys":   {[]float64{90, 10}, 3},
+		"one key":                 {[]float64{50, 50}, 1},
+		"three, one gets nothing": {[]float64{60, 40, 0}, 50},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &route.Route{Name: "r"}
+			total := 0.0
+			for i, w := range c.weights {
+				r.Targets = append(r.Targets, route.Target{Service: fmt.Sprint(i), Weight: w})
+				total += w
+			}
+			split, got := placement.NewSplit(), make(map[string]float64)
+			const n = 400
+			for i := range n {
+				got[split.Choose(r, uint64(i%c.keys))] += 1.0 / n
+			}
+			for i, w := range c.weights {
+				if diff := got[fmt.Sprint(i)] - w/total; diff > 0.05 || diff < -0.05 {
+					t.Errorf("target %d got %.3f, weight %.3f", i, got[fmt.Sprint(i)], w/total)
+				}
+			}
+			if c.weights[len(c.weights)-1] == 0 && got[fmt.Sprint(len(c.weights)-1)] != 0 {
+				t.Error("a target without weight got requests")
+			}
+		})
+	}
+}
+
+func TestSplitKeepsKeys(t *testing.T) {
+	r := &route.Route{Name: "r", Targets: []route.Target{{Service: "a", Weight: 70}, {Service: "b", Weight: 30}}}
+	split, last, changes := placement.NewSplit(), make(map[uint64]string), 0
+	const n = 4000
+	for i := range uint64(n) {
+		key := i * 7919 % 100
+		service := split.Choose(r, key)
+		if before, ok := last[key]; ok && before != service {
+			changes++
+		}
+		last[key] = service
+	}
+	if changes > n/5 {
+		t.Errorf("%d of %d requests went to another service than the one before with their key", changes, n)
+	}
+}
+
+// region is the VMs of a region, of which each sees only some.
+type region struct{ sees map[string][]string }
+
+type seenBy struct {
+	region *region
+	vm     string
+}
+
+func (s seenBy) Live(string) ([]string, int) { return s.region.sees[s.vm], len(s.region.sees) }
+
+// Whoever sees whom, all VMs together send a cold worker no more than it bears
+// in any second.
+func TestColdRateOfAllVMs(t *testing.T) {
+	const rate, bears = 11.0, 11.0*1.5 + 5
+	all := []string{"a", "b", "c", "d", "e"}
+	cases := map[string]map[string][]string{
+		"all see all":       {"a": all, "b": all, "c": all, "d": all, "e": all},
+		"two were cut off":  {"a": {"a", "b", "c"}, "b": {"a", "b", "c"}, "c": {"a", "b", "c"}, "d": {"d"}, "e": {"e"}},
+		"each is alone":     {"a": {"a"}, "b": {"b"}, "c": {"c"}, "d": {"d"}, "e": {"e"}},
+		"two disjoint ones": {"a": {"a", "b", "c"}, "b": {"a", "b", "c"}, "c": {"a", "b", "c"}, "d": {"d", "e", "a"}, "e": {"d", "e", "a"}},
+	}
+	for name, sees := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			r := &region{sees: sees}
+			var vms []*placement.Cold
+			for _, vm := range all {
+				vms = append(vms, placement.NewCold(placement.ColdConfig{VM: vm, Region: "north", Peers: seenBy{r, vm}, Now: clock.Now}))
+			}
+			for n := range 50 {
+				w := worker.Worker{ID: fmt.Sprintf("w%d", n), Region: "north"}
+				const ticks = 100
+				sent := make([]int, 0, 3*ticks)
+				for range 3 * ticks {
+					sent = append(sent, 0)
+					for _, vm := range vms {
+						if vm.Take(w, rate) {
+							sent[len(sent)-1]++
+						}
+					}
+					clock.Advance(time.Second / ticks)
+				}
+				for i := range sent[:2*ticks] {
+					sum := 0
+					for _, n := range sent[i : i+ticks] {
+						sum += n
+					}
+					if float64(sum) > bears {
+						t.Fatalf("%d in a second, it bears %.1f", sum, bears)
+					}
+				}
+			}
+		})
+	}
+}
+
+func TestColdWorkers(t *testing.T) {
+	Convey("Of four workers one is cold", t, func() {
+		f := newFixture(map[string]int{"north": 4}, nil)
+		until := f.clock.Now().Add(3 * time.Second)
+		f = newFixture(map[string]int{"north": 4}, func(w *worker.Worker) {
+			if w.ID == "north-0" {
+				w.ColdUntil = until
+			}
+		})
+		count := func() int {
+			n := 0
+			for key := range uint64(400) {
+				if c, refusal := f.placer.Place(f.snapshot, request(key)); refusal == placement.RefusalNone {
+					if c.Worker().ID == "north-0" {
+						n++
+					}
+					c.Load().End()
+				}
+			}
+			return n
+		}
+		Convey("it gets few requests at once", func() {
+			So(count(), ShouldBeLessThanOrEqualTo, 2)
+		})
+		Convey("it gets its keys once it is warm", func() {
+			f.clock.Advance(4 * time.Second)
+			So(count(), ShouldBeGreaterThan, 50)
+		})
+	})
+	Convey("Workers of a hall that is open again are cold for a while", t, func() {
+		f := newFixture(map[string]int{"north": 2}, nil)
+		f.snapshot.WarmAt = map[string]time.Time{"north-a": f.clock.Now().Add(time.Second), "north-b": f.clock.Now().Add(time.Second)}
+		refused := 0
+		for key := range uint64(100) {
+			if _, refusal := f.placer.Place(f.snapshot, request(key)); refusal == placement.RefusalCold {
+				refused++
+			}
+		}
+		So(refused, ShouldBeGreaterThan, 90)
+	})
+}
--- a/coordination/placement/share.go
+++ b/coordination/placement/share.go
@@ -30,17 +30,21 @@
 		}
 	}
 	fair := total / float64(max(sources, 1))
-	point := float64(mix(r.Key^xxhash.Sum64String(r.Service))) / math.MaxUint64
-	kept := min(1, slots[home]/fair)
-	if point < kept {
+	hash := mix(r.Key ^ xxhash.Sum64String(r.Service))
+	if point(hash) < min(1, slots[home]/fair) {
 		return home
 	}
-	return surplusRegion(home, regions, slots, fair, (point-kept)/(1-kept))
+	// A hash of its own: a change of what is kept moves none of the keys that
+	// were given before.
+	return surplusRegion(home, regions, slots, fair, point(mix(hash+1)))
 }
 
+// point maps a hash to a number from 0 to 1.
+func point(hash uint64) float64 { return float64(hash) / math.MaxUint64 }
+
 // surplusRegion picks one of the regions with slots beyond their part by a
-// point between 0 and 1, or any with slots if none has.
-func surplusRegion(home string, regions []string, slots map[string]float64, fair, point float64) string {
+// number from 0 to 1, or any with slots if none has.
+func surplusRegion(home string, regions []string, slots map[string]float64, fair, at float64) string {
 	weight := func(region string) float64 { return max(0, slots[region]-fair) }
 	sum := 0.0
 	for _, region := range regions {
@@ -58,8 +62,8 @@
 			continue
 		}
 		last = region
-		point -= weight(region) / sum
-		if point < 0 {
+		at -= weight(region) / sum
+		if at < 0 {
 			break
 		}
 	}
--- a/coordination/placement/split.go
+++ b/coordination/placement/split.go
@@ -4,7 +4,6 @@
 package placement
 
 import (
-	"math"
 	"sync"
 
 	"github.com/ryehill/ryehill/state/route"
@@ -96,10 +95,10 @@
 
 // ownTarget is the target that a key belongs to.
 func ownTarget(targets []route.Target, total float64, key uint64) int {
-	point := float64(mix(key)) / math.MaxUint64 * total
+	at := point(mix(key)) * total
 	for i, t := range targets {
-		point -= t.Weight
-		if point < 0 {
+		at -= t.Weight
+		if at < 0 {
 			return i
 		}
 	}
--- /dev/null
+++ b/state/object/replica_test.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package object_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/ryehill/ryehill/state/object"
+)
+
+const kind = "things"
+
+// store is the truth that replicas follow: every change has a revision.
+type store struct {
+	revision uint64
+	objects  map[string]object.Object
+	log      []object.Event
+}
+
+func (s *store) put(name string) {
+	s.revision++
+	o := object.Object{Name: name, Revision: s.revision, Spec: fmt.Appendf(nil, "%d", s.revision)}
+	s.objects[name] = o
+	s.log = append(s.log, object.Event{Object: o})
+}
+
+// remove tells, as the platform's store does, the revision of the object's last
+// change rather than that of its end.
+func (s *store) remove(name string) {
+	o, ok := s.objects[name]
+	if !ok {
+		return
+	}
+	s.revision++
+	delete(s.objects, name)
+	s.log = append(s.log, object.Event{Object: object.Object{Name: name, Revision: o.Revision}, Gone: true})
+}
+
+func (s *store) list() []object.Object {
+	list := make([]object.Object, 0, len(s.objects))
+	for _, o := range s.objects {
+		list = append(list, o)
+	}
+	return list
+}
+
+func holds(r *object.Replica, s *store) string {
+	held := r.Objects(kind)
+	if len(held) != len(s.objects) {
+		return fmt.Sprintf("%d objects held, %d in the store", len(held), len(s.objects))
+	}
+	for _, o := range held {
+		if s.objects[o.Name].Revision != o.Revision {
+			return "another revision of " + o.Name
+		}
+	}
+	return ""
+}
+
+// Whatever replicas hear from the store and from each other, in whatever order,
+// one that is complete up to the store's revision holds just what the store does.
+func TestReplicasConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{objects: make(map[string]object.Object)}
+		replicas := []*object.Replica{object.NewReplica(), object.NewReplica(), object.NewReplica()}
+		name := rapid.SampledFrom([]string{"a", "b", "c"})
+		var late []object.Delta
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			i := rapid.IntRange(0, 2).Draw(t, "replica")
+			r := replicas[i]
+			at, known := r.At(kind)
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				s.put(name.Draw(t, "name"))
+			case 2:
+				s.remove(name.Draw(t, "name"))
+			case 3:
+				r.Reset(kind, s.list(), s.revision)
+			case 4:
+				if known && at < uint64(len(s.log)) {
+					to := at + uint64(rapid.IntRange(1, len(s.log)-int(at)).Draw(t, "to"))
+					r.Apply(kind, at, s.log[at:to], to)
+				}
+			case 5:
+				if d, ok := replicas[(i+1)%3].Since(kind, at, known); ok {
+					late = append(late, d)
+					r.Merge(d)
+				}
+			default:
+				if len(late) > 0 {
+					r.Merge(late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
+				}
+			}
+			if after, _ := r.At(kind); after < at {
+				t.Fatalf("a replica went back from %d to %d", at, after)
+			}
+		}
+		for i, r := range replicas {
+			at, known := r.At(kind)
+			if known && at == s.revision {
+				if fault := holds(r, s); fault != "" {
+					t.Fatalf("replica %d at %d: %s", i, at, fault)
+				}
+			}
+			if known && at < s.revision {
+				r.Apply(kind, at, s.log[at:], s.revision)
+				if fault := holds(r, s); fault != "" {
+					t.Fatalf("replica %d after the rest: %s", i, fault)
+				}
+			}
+		}
+	})
+}
+
+func TestDeltas(t *testing.T) {
+	Convey("A replica that knows nothing", t, func() {
+		r := object.NewReplica()
+		Convey("has nothing to tell", func() {
+			_, ok := r.Since(kind, 0, false)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("takes no changes, since it lacks what was before", func() {
+			r.Apply(kind, 3, []object.Event{{Object: object.Object{Name: "a", Revision: 4}}}, 4)
+			So(r.Objects(kind), ShouldBeEmpty)
+		})
+	})
+	Convey("A replica at revision 5", t, func() {
+		r := object.NewReplica()
+		r.Reset(kind, []object.Object{{Name: "a", Revision: 2}, {Name: "b", Revision: 5}}, 5)
+		Convey("tells one that is behind of the end of an object", func() {
+			r.Apply(kind, 5, []object.Event{{Object: object.Object{Name: "a", Revision: 2}, Gone: true}}, 6)
+			d, ok := r.Since(kind, 5, true)
+			So(ok, ShouldBeTrue)
+			So(d.Full, ShouldBeFalse)
+			So(d.Events, ShouldHaveLength, 1)
+			So(d.Events[0].Gone, ShouldBeTrue)
+		})
+		Convey("tells one that is too far behind everything", func() {
+			d, _ := r.Since(kind, 1, true)
+			So(d.Full, ShouldBeTrue)
+			So(d.Events, ShouldHaveLength, 2)
+		})
+		Convey("ignores an older list", func() {
+			r.Reset(kind, nil, 4)
+			So(r.Objects(kind), ShouldHaveLength, 2)
+		})
+		Convey("takes what a newer list lacks as gone", func() {
+			r.Reset(kind, []object.Object{{Name: "b", Revision: 5}}, 7)
+			So(r.Objects(kind), ShouldHaveLength, 1)
+		})
+	})
+}
--- /dev/null
+++ b/state/worker/worker_test.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+func TestLoad(t *testing.T) {
+	Convey("A load", t, func() {
+		clock := clockwork.NewFakeClock()
+		loads := worker.NewLoads(clock.Now)
+		load := loads.Of("w1")
+		Convey("counts own requests under way", func() {
+			load.Begin()
+			load.Begin()
+			load.End()
+			So(load.Busy(), ShouldEqual, 1)
+		})
+		Convey("adds what the worker told of others, which fades", func() {
+			load.Begin()
+			load.Begin()
+			load.Told(4, 1) // One of this VM's two is still there, four are others'.
+			load.End()
+			So(load.Busy(), ShouldEqual, 5)
+			clock.Advance(500 * time.Millisecond)
+			So(load.Busy(), ShouldEqual, 3)
+			clock.Advance(500 * time.Millisecond)
+			So(load.Busy(), ShouldEqual, 1)
+		})
+		Convey("pauses longer with each failure in a row, and ends with an answer", func() {
+			load.Failed()
+			So(load.Paused(), ShouldBeTrue)
+			clock.Advance(500 * time.Millisecond)
+			So(load.Paused(), ShouldBeFalse)
+			load.Failed()
+			clock.Advance(500 * time.Millisecond)
+			So(load.Paused(), ShouldBeTrue)
+			load.Answered()
+			So(load.Paused(), ShouldBeFalse)
+		})
+		Convey("is forgotten only while nothing is under way", func() {
+			load.Begin()
+			loads.Keep(func(string) bool { return false })
+			So(loads.Of("w1"), ShouldEqual, load)
+			load.End()
+			loads.Keep(func(string) bool { return false })
+			So(loads.Of("w1"), ShouldNotEqual, load)
+		})
+	})
+}
