upstream, ingress: tests of what is sent again and of whose answer it is

Cause found by the tests: an answer that another worker has the address bears no request's id, and its connection was kept, so a late second copy would have been taken for "not run" of the next request, which could then run twice. Change: that connection is closed. A connection whose sender had not yet noticed its last write is given 5 ms, not thrown away (a flake of TestNothingIsSentTwice on a busy machine).

--- /dev/null
+++ b/transport/ingress/ingress_test.go
@@ -0,0 +1,385 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/internal/metrics"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/ingress"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// plain is a dialect with short names.
+type plain struct{}
+
+func (plain) RequestID(r *http.Request) string { return r.Header.Get("Id") }
+
+func (plain) Patience(r *http.Request) (time.Duration, bool) {
+	ms, err := strconv.Atoi(r.Header.Get("Wait"))
+	return time.Duration(ms) * time.Millisecond, err == nil
+}
+
+func (plain) Key(r *http.Request) (string, bool) {
+	return r.Header.Get("Key"), r.Header.Get("Key") != ""
+}
+
+func (plain) Address(h http.Header, id string, left time.Duration) {
+	h.Set("For", id)
+	h.Set("Wait", strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+func (plain) Load(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
+
+func (plain) Refused(res *http.Response) (upstream.Kind, bool) {
+	return upstream.KindShed, res.Header.Get("Not-Run") != ""
+}
+
+func (plain) Belongs(req *upstream.Request, res *http.Response) bool {
+	return req.Header.Get("Id") == res.Header.Get("Id")
+}
+
+func (plain) WithoutLength() bool { return true }
+
+// fixture is one VM between a client and workers.
+type fixture struct {
+	front    *httptest.Server
+	handler  *ingress.Handler
+	snapshot *placement.Snapshot
+
+	mu   sync.Mutex
+	runs map[string][]string // by request id: the workers that got it
+}
+
+type oneVM struct{}
+
+func (oneVM) Live(string) ([]string, int) { return []string{"vm"}, 1 }
+
+// newFixture starts workers that all behave the same; n is how often the
+// request has come to any worker before.
+func newFixture(t *testing.T, workers int, behave func(n int, w http.ResponseWriter, r *http.Request)) *fixture {
+	t.Helper()
+	f := &fixture{runs: make(map[string][]string)}
+	var list []worker.Worker
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			n := len(f.runs[r.Header.Get("Id")])
+			f.runs[r.Header.Get("Id")] = append(f.runs[r.Header.Get("Id")], id)
+			f.mu.Unlock()
+			w.Header().Set("Id", r.Header.Get("Id"))
+			behave(n, w, r)
+		}))
+		t.Cleanup(s.Close)
+		list = append(list, worker.Worker{ID: id, Service: "s", Region: "here", Slots: 4, Address: strings.TrimPrefix(s.URL, "http://")})
+	}
+	f.snapshot = &placement.Snapshot{
+		Regions: []string{"here"}, Workers: worker.NewSet(list),
+		Routes: route.NewTable(route.Config{
+			Version: 1, Services: []route.Service{{Name: "s"}}, Limits: route.Limits{MaxBodyBytes: 4 << 20},
+			Routes: []route.Route{
+				{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}},
+				{Name: "pay", Host: "h", Prefix: "/pay/", MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}},
+			},
+		}),
+	}
+	f.serve(t)
+	return f
+}
+
+func (f *fixture) serve(t *testing.T) {
+	loads := worker.NewLoads(time.Now)
+	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "here", Peers: oneVM{}, Now: time.Now})
+	client := upstream.New(upstream.Config{Dialect: plain{}, DialTimeout: 300 * time.Millisecond})
+	f.handler = ingress.New(ingress.Config{
+		Snapshot:  func() *placement.Snapshot { return f.snapshot },
+		Placer:    placement.New(placement.Config{Region: "here", Loads: loads, Cold: cold, Now: time.Now}),
+		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(),
+		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100},
+	})
+	f.front = httptest.NewServer(f.handler)
+	t.Cleanup(func() {
+		f.front.Close()
+		client.CloseIdle()
+	})
+}
+
+// ran returns the workers that got a request.
+func (f *fixture) ran(id string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+type reply struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+	took   time.Duration
+	// closing is set if the connection ends with this answer.
+	closing bool
+}
+
+func (f *fixture) ask(method, path, id, body string, header ...string) reply {
+	req, _ := http.NewRequest(method, f.front.URL+path, strings.NewReader(body))
+	req.Host = "h"
+	req.Header.Set("Id", id)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	begun := time.Now()
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{err: err, took: time.Since(begun)}
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, body: string(raw), header: res.Header, err: err, took: time.Since(begun), closing: res.Close}
+}
+
+func ok(_ int, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Sign", "mine")
+	fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+// reset breaks the connection off as a crashed worker does.
+func reset(w http.ResponseWriter) {
+	conn, _, _ := w.(http.Hijacker).Hijack()
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func TestRequestsAndAnswersPassUnchanged(t *testing.T) {
+	Convey("With one worker", t, func() {
+		f := newFixture(t, 1, ok)
+		Convey("method, path, query, body and the answer's signature pass", func() {
+			r := f.ask(http.MethodPost, "/pay/a%2fb//c?x=%20y", "1", "money")
+			So(r.status, ShouldEqual, http.StatusOK)
+			So(r.body, ShouldEqual, "POST /pay/a%2fb//c?x=%20y money")
+			So(r.header.Get("Sign"), ShouldEqual, "mine")
+			So(r.header.Get("Content-Encoding"), ShouldBeEmpty)
+		})
+		Convey("a body beyond what is held passes whole", func() {
+			body := strings.Repeat("x", 3<<20)
+			r := f.ask(http.MethodPost, "/pay/", "2", body)
+			So(len(r.body), ShouldEqual, len("POST /pay/ ")+len(body))
+		})
+		Convey("a body beyond the limit is rejected", func() {
+			r := f.ask(http.MethodPost, "/pay/", "3", strings.Repeat("x", 5<<20))
+			So(r.err != nil || r.status == http.StatusRequestEntityTooLarge, ShouldBeTrue)
+			So(f.ran("3"), ShouldBeEmpty)
+		})
+		Convey("a path without a route gets 404", func() {
+			So(f.ask(http.MethodGet, "/none/", "4", "").status, ShouldEqual, http.StatusNotFound)
+		})
+		Convey("a stopping VM closes each connection with its answer", func() {
+			f.handler.Stop()
+			So(f.ask(http.MethodGet, "/read/", "5", "").closing, ShouldBeTrue)
+		})
+	})
+	Convey("Before any configuration is known, the answer is 503 with a time to come back", t, func() {
+		f := newFixture(t, 1, ok)
+		f.snapshot = nil
+		r := f.ask(http.MethodGet, "/read/", "1", "")
+		So(r.status, ShouldEqual, http.StatusServiceUnavailable)
+		So(r.header.Get("Retry-After"), ShouldNotBeEmpty)
+	})
+}
+
+// What is sent again, how often, and what the client is told.
+func TestSendingAgain(t *testing.T) {
+	shed := func(w http.ResponseWriter) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	firstOnly := func(fail func(http.ResponseWriter)) func(int, http.ResponseWriter, *http.Request) {
+		return func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 0 {
+				fail(w)
+				return
+			}
+			ok(n, w, r)
+		}
+	}
+	always := func(fail func(http.ResponseWriter)) func(int, http.ResponseWriter, *http.Request) {
+		return func(_ int, w http.ResponseWriter, _ *http.Request) { fail(w) }
+	}
+	unsigned := func(w http.ResponseWriter) {
+		w.Header().Set("Id", "another")
+		_, _ = io.WriteString(w, "another's")
+	}
+	cases := map[string]struct {
+		path   string
+		behave func(int, http.ResponseWriter, *http.Request)
+		status int
+		sends  int
+	}{
+		"refused, may run once":               {"/pay/", firstOnly(shed), http.StatusOK, 2},
+		"refused everywhere":                  {"/pay/", always(shed), http.StatusServiceUnavailable, 2},
+		"refused everywhere, repeatable":      {"/read/", always(shed), http.StatusServiceUnavailable, 2},
+		"broken off, may run once":            {"/pay/", firstOnly(reset), http.StatusBadGateway, 1},
+		"broken off, repeatable":              {"/read/", firstOnly(reset), http.StatusOK, 2},
+		"broken off everywhere, repeatable":   {"/read/", always(reset), http.StatusBadGateway, 2},
+		"another's answer, may run once":      {"/pay/", firstOnly(unsigned), http.StatusGatewayTimeout, 1},
+		"another's answer, repeatable":        {"/read/", firstOnly(unsigned), http.StatusOK, 2},
+		"a failure of the worker's own is it": {"/read/", func(_ int, w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, http.StatusInternalServerError, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 3, c.behave)
+			r := f.ask(http.MethodPost, c.path, "7", "x")
+			if r.status != c.status || len(f.ran("7")) != c.sends {
+				t.Errorf("status %d after %v, want %d after %d sends (%v)", r.status, f.ran("7"), c.status, c.sends, r.err)
+			}
+			if r.status == http.StatusServiceUnavailable && r.header.Get("Retry-After") == "" {
+				t.Error("503 without a time to come back")
+			}
+		})
+	}
+}
+
+// An answer that breaks off after its head was passed on must not look whole.
+func TestBrokenAnswerDoesNotLookWhole(t *testing.T) {
+	for name, framed := range map[string]bool{"with a length": true, "without a length": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1, func(_ int, w http.ResponseWriter, r *http.Request) {
+				conn, out, _ := w.(http.Hijacker).Hijack()
+				length := ""
+				if framed {
+					length = "Content-Length: 2000000\r\n"
+				}
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", r.Header.Get("Id"), length, strings.Repeat("x", 1<<20))
+				_ = out.Flush()
+				time.Sleep(100 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			})
+			r := f.ask(http.MethodPost, "/pay/", "1", "")
+			if r.err == nil && r.status == http.StatusOK {
+				t.Errorf("%d bytes looked whole", len(r.body))
+			}
+		})
+	}
+}
+
+func TestTimes(t *testing.T) {
+	slow := func(_ int, w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(5 * time.Second):
+			w.WriteHeader(http.StatusOK)
+		}
+	}
+	Convey("A silent worker", t, func() {
+		f := newFixture(t, 2, slow)
+		Convey("ends with 504 at the client's deadline", func() {
+			r := f.ask(http.MethodPost, "/pay/", "1", "", "Wait", "300")
+			So(r.status, ShouldEqual, http.StatusGatewayTimeout)
+			So(r.took, ShouldBeBetween, 250*time.Millisecond, 600*time.Millisecond)
+		})
+		Convey("ends with 504 at the route's time, if that is earlier", func() {
+			r := f.ask(http.MethodPost, "/pay/", "2", "", "Wait", "9000")
+			So(r.status, ShouldEqual, http.StatusGatewayTimeout)
+			So(r.took, ShouldBeBetween, 900*time.Millisecond, 1400*time.Millisecond)
+		})
+	})
+	Convey("A repeatable request goes to another worker when its own is silent for long", t, func() {
+		f := newFixture(t, 2, func(n int, w http.ResponseWriter, r *http.Request) {
+			if n == 0 {
+				slow(n, w, r)
+				return
+			}
+			ok(n, w, r)
+		})
+		r := f.ask(http.MethodGet, "/read/", "1", "", "Wait", "800")
+		So(r.status, ShouldEqual, http.StatusOK)
+		So(f.ran("1"), ShouldHaveLength, 2)
+		Convey("but not at a VM that stops: what its worker is at work on is not broken off", func() {
+			f.handler.Stop()
+			r := f.ask(http.MethodGet, "/read/", "2", "", "Wait", "600")
+			So(r.status, ShouldEqual, http.StatusGatewayTimeout)
+			So(f.ran("2"), ShouldHaveLength, 1)
+		})
+	})
+	Convey("nor where no other worker has room: the first one is waited for", t, func() {
+		f := newFixture(t, 1, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(600 * time.Millisecond)
+			w.WriteHeader(http.StatusOK)
+		})
+		r := f.ask(http.MethodGet, "/read/", "1", "", "Wait", "900")
+		So(r.status, ShouldEqual, http.StatusOK)
+	})
+	Convey("The worker is told what is left of the client's time", t, func() {
+		f := newFixture(t, 1, func(_ int, w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, r.Header.Get("Wait"))
+		})
+		left, err := strconv.Atoi(f.ask(http.MethodGet, "/read/", "1", "", "Wait", "500").body)
+		So(err, ShouldBeNil)
+		So(left, ShouldBeBetween, 300, 501)
+	})
+}
+
+// A worker stops when the client leaves.
+func TestClientLeaves(t *testing.T) {
+	stopped := make(chan struct{})
+	f := newFixture(t, 1, func(_ int, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(stopped)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, f.front.URL+"/read/", nil)
+	req.Host = "h"
+	if res, err := http.DefaultClient.Do(req); err == nil {
+		res.Body.Close()
+	}
+	select {
+	case <-stopped:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the worker still works 2 s later")
+	}
+}
+
+// A full worker is not queued at: the answer comes at once.
+func TestRefusedAtOnce(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, 1, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.WriteHeader(http.StatusOK)
+	})
+	defer close(release)
+	for i := range 4 {
+		go f.ask(http.MethodPost, "/pay/", fmt.Sprint("busy", i), "", "Wait", "900")
+	}
+	for deadline := time.Now().Add(time.Second); f.handler.InFlight() < 4 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	r := f.ask(http.MethodPost, "/pay/", "last", "", "Wait", "900")
+	if r.status != http.StatusServiceUnavailable || r.took > 200*time.Millisecond || r.header.Get("Retry-After") == "" {
+		t.Errorf("status %d after %s, Retry-After %q", r.status, r.took, r.header.Get("Retry-After"))
+	}
+	if len(f.ran("last")) != 0 {
+		t.Error("it was sent")
+	}
+}
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -189,14 +189,25 @@
 // endRefused ends an exchange that the upstream refused. The connection is kept
 // if both sides ended in full.
 func (x *exchange) endRefused(res *http.Response) {
-	keep := false
+	// An answer that another worker has the address bears no sign of the
+	// request it belongs to, so no other request may wait behind it.
+	nameless := !x.client.cfg.Dialect.Belongs(x.req, res) || res.StatusCode == http.StatusMisdirectedRequest
+	keep := !nameless && x.sent() && !res.Close && passOver(res) == nil && x.conn.reader.Buffered() == 0
+	x.conn.announced(res.Header.Get("Keep-Alive"))
+	x.end(keep)
+}
+
+// sent reports whether the request was sent in full. An answer can be here
+// before the sender has noticed that its last write is done, so that gets a
+// moment.
+func (x *exchange) sent() bool {
+	const moment = 5 * time.Millisecond
 	select {
 	case <-x.sendDone:
-		keep = x.sendErr == nil && !res.Close && passOver(res) == nil && x.conn.reader.Buffered() == 0
-	default:
+		return x.sendErr == nil
+	case <-time.After(moment):
+		return false
 	}
-	x.conn.announced(res.Header.Get("Keep-Alive"))
-	x.end(keep)
 }
 
 // send writes the request. It runs beside readHead, since an upstream may
@@ -318,13 +329,7 @@
 
 func (b *answerBody) close() {
 	b.once.Do(func() {
-		keep := b.keep && b.ended
-		select {
-		case <-b.exchange.sendDone:
-			keep = keep && b.exchange.sendErr == nil
-		default:
-			keep = false
-		}
+		keep := b.keep && b.ended && b.exchange.sent()
 		b.exchange.end(keep && b.exchange.conn.reader.Buffered() == 0)
 	})
 }
