--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,224 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway_test
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/upstream"
+)
+
+// Kinds of the fake store.
+const (
+	kindConfig  = "config"
+	kindWorkers = "workers"
+	kindClosed  = "closed"
+	kindMembers = "members"
+)
+
+var errAway = errors.New("the store is away")
+
+// memoryStore is a store in memory. Each VM has a door of its own to it, that
+// can be shut.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision uint64
+	kinds    map[string]map[string]object.Object
+	log      map[string][]object.Event
+	changed  chan struct{}
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{kinds: make(map[string]map[string]object.Object), log: make(map[string][]object.Event), changed: make(chan struct{})}
+}
+
+func (s *memoryStore) put(kind, name string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	o := object.Object{Name: name, Revision: s.revision, Spec: raw}
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = make(map[string]object.Object)
+	}
+	s.kinds[kind][name] = o
+	s.log[kind] = append(s.log[kind], object.Event{Object: o})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.kinds[kind], name)
+	s.log[kind] = append(s.log[kind], object.Event{Object: object.Object{Name: name, Revision: s.revision}, Gone: true})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// door is one VM's way to the store.
+type door struct {
+	store *memoryStore
+
+	mu     sync.Mutex
+	shut   bool
+	silent bool
+	calls  map[string]int
+}
+
+func (d *door) set(shut, silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shut, d.silent = shut, silent
+}
+
+func (d *door) count(call string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls[call]
+}
+
+// pass counts a call. A silent door lets none back before its time is over.
+func (d *door) pass(ctx context.Context, call string, patience time.Duration) error {
+	d.mu.Lock()
+	d.calls[call]++
+	shut, silent := d.shut, d.silent
+	d.mu.Unlock()
+	if silent {
+		select {
+		case <-ctx.Done():
+		case <-time.After(patience):
+		}
+		return errAway
+	}
+	if shut {
+		return errAway
+	}
+	return nil
+}
+
+func (d *door) List(ctx context.Context, kind string, _ bool) ([]object.Object, uint64, error) {
+	if err := d.pass(ctx, "list "+kind, time.Second); err != nil {
+		return nil, 0, err
+	}
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	var list []object.Object
+	for _, o := range d.store.kinds[kind] {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b object.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return list, d.store.revision, nil
+}
+
+func (d *door) Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error) {
+	if err := d.pass(ctx, "watch "+kind, hold+300*time.Millisecond); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.After(hold)
+	for {
+		d.store.mu.Lock()
+		var events []object.Event
+		for _, e := range d.store.log[kind] {
+			if e.Revision > since {
+				events = append(events, e)
+			}
+		}
+		at, changed := d.store.revision, d.store.changed
+		d.store.mu.Unlock()
+		if len(events) > 0 {
+			return events, at, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-deadline:
+			return nil, at, nil
+		case <-changed:
+		}
+	}
+}
+
+func (d *door) Put(ctx context.Context, kind, name string, raw []byte) error {
+	if err := d.pass(ctx, "put "+kind, time.Second); err != nil {
+		return err
+	}
+	d.store.put(kind, name, json.RawMessage(raw))
+	return nil
+}
+
+// codec stores the product's own types as JSON.
+type codec struct{}
+
+func (codec) ConfigKind() string { return kindConfig }
+func (codec) WorkerKind() string { return kindWorkers }
+func (codec) ClosedKind() string { return kindClosed }
+func (codec) MemberKind() string { return kindMembers }
+
+func (codec) Routes(o object.Object) (route.Config, error) {
+	var cfg route.Config
+	err := json.Unmarshal(o.Spec, &cfg)
+	return cfg, err
+}
+
+func (codec) Worker(o object.Object) (worker.Worker, time.Duration, error) {
+	var w worker.Worker
+	err := json.Unmarshal(o.Spec, &w)
+	w.ID, w.Revision = o.Name, o.Revision
+	return w, 0, err
+}
+
+func (codec) EncodeMember(vm spec.VM) ([]byte, error) { return json.Marshal(vm) }
+
+func (codec) Members(objects []object.Object) []spec.VM {
+	var vms []spec.VM
+	for _, o := range objects {
+		var vm spec.VM
+		if json.Unmarshal(o.Spec, &vm) == nil {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// dialect has no headers but the time that is left.
+type dialect struct{}
+
+func (dialect) RequestID(r *http.Request) string { return r.Header.Get("Id") }
+
+func (dialect) Patience(r *http.Request) (time.Duration, bool) {
+	ms, err := strconv.Atoi(r.Header.Get("Wait"))
+	return time.Duration(ms) * time.Millisecond, err == nil
+}
+
+func (dialect) Key(*http.Request) (string, bool)                   { return "", false }
+func (dialect) Address(http.Header, string, time.Duration)         {}
+func (dialect) Load(http.Header) (running, waiting int, ok bool)   { return 0, 0, false }
+func (dialect) Refused(*http.Response) (upstream.Kind, bool)       { return 0, false }
+func (dialect) Belongs(_ *upstream.Request, _ *http.Response) bool { return true }
+func (dialect) WithoutLength() bool                                { return true }
+
+var (
+	_ gateway.Store   = (*door)(nil)
+	_ gateway.Codec   = codec{}
+	_ gateway.Dialect = dialect{}
+)
