--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -35,7 +35,7 @@
 
 // holders is how many workers hold each key: with one, a busy or lost worker
 // makes its keys cold; with three, keys spread too thin to stay warm.
-const holders = 2
+const holders = 1
 
 // Refusal says why no worker was found.
 type Refusal string
@@ -215,9 +215,9 @@
 func (p *Placer) pressure(w worker.Worker) int {
 	busy, slots := p.cfg.Loads.Of(w.ID).Busy(), float64(w.Slots)
 	switch {
-	case busy+1 > slots:
+	case busy+1 > 1.5*slots:
 		return maxPressure
-	case busy >= slots/2:
+	case busy+1 > slots:
 		return 1
 	}
 	return 0
