--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -3,11 +3,11 @@
 
 // Package placement decides which worker gets a request.
 //
-// Requests with one key go to the same few workers, found by rendezvous
-// hashing, since a worker that has seen a key lately answers much faster. Of
-// these few the least busy one is taken; if none has room the request is
-// refused at once, for a queue or a spread over all workers would make every
-// worker slow (docs/design/platform.md has the figures). A region that holds
+// Requests with one key go to one worker, found by rendezvous hashing, since a
+// worker that has seen a key lately answers much faster. If that has no room and
+// the next one is not nearly idle, the request is refused at once, for a spread
+// over more workers would make every worker slow (docs/design/platform.md has
+// the figures). A region that holds
 // less than its share of a service's slots gives a stable part of the keys to
 // those that hold more.
 //
@@ -33,9 +33,13 @@
 	"github.com/ryehill/ryehill/state/worker"
 )
 
-// holders is how many workers hold each key: with one, a busy or lost worker
-// makes its keys cold; with three, keys spread too thin to stay warm.
-const holders = 1
+// holderRoom is how many requests each holder of a key may have at most before
+// it gets one more, in parts of its slots. The first holder may queue: a short
+// wait costs less than a refusal, and far less than a cold answer elsewhere. The
+// second one is for keys whose first holder is slow or pressed, and helps only
+// where it is nearly idle. Every further holder made all of them cold (figures
+// in docs/design/platform.md).
+var holderRoom = [...]float64{2, 1.0 / 3}
 
 // Refusal says why no worker was found.
 type Refusal string
@@ -178,49 +182,32 @@
 	return list
 }
 
+// choose takes the first holder of the key in a region while that has room, then
+// the second one if it is nearly idle. Cold workers hold no key yet; they get
+// what their rate allows.
 func (p *Placer) choose(s *Snapshot, r Request, workers []worker.Worker, region string) (Choice, Refusal) {
 	service, _ := s.Routes.Service(r.Service)
-	best, least, held, cold := worker.Worker{}, maxPressure, 0, false
+	refusal := RefusalNoWorker
+	held := 0
 	for _, c := range ranked(workers, region, r.Key) {
-		if held == holders {
-			break
-		}
 		if p.cold(s, c.worker) {
 			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
 				return p.take(c.worker), RefusalNone
 			}
-			cold = true
+			if held == 0 {
+				refusal = RefusalCold
+			}
 			continue // Another holds the key until this one is warm.
 		}
-		held++
-		if pressure := p.pressure(c.worker); pressure < least {
-			best, least = c.worker, pressure
+		if p.cfg.Loads.Of(c.worker.ID).Busy() < holderRoom[held]*float64(c.worker.Slots) {
+			return p.take(c.worker), RefusalNone
+		}
+		refusal = RefusalBusy
+		if held++; held == len(holderRoom) {
+			break
 		}
 	}
-	switch {
-	case least < maxPressure:
-		return p.take(best), RefusalNone
-	case held == 0 && cold:
-		return Choice{}, RefusalCold
-	}
-	return Choice{}, RefusalBusy
-}
-
-// maxPressure is the pressure of a worker without room.
-const maxPressure = 2
-
-// pressure is 0 while a worker has less than half of its slots busy, 1 while it
-// has room, and maxPressure else. The steps keep a key on its first holder as
-// long as that is not pressed: a second holder costs a cold answer for each key.
-func (p *Placer) pressure(w worker.Worker) int {
-	busy, slots := p.cfg.Loads.Of(w.ID).Busy(), float64(w.Slots)
-	switch {
-	case busy+1 > 1.5*slots:
-		return maxPressure
-	case busy+1 > slots:
-		return 1
-	}
-	return 0
+	return Choice{}, refusal
 }
 
 func (p *Placer) take(w worker.Worker) Choice {
