ingress, retry, gateway: lose less around a restart and dead workers

Change: only the first start of a fleet asks peers first; a VM holds a request for up to 120 ms until it knows anything; a try that reached nobody costs neither budget nor one of the route's attempts (four at most).

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -62,6 +62,9 @@
 	// MaxTries bounds the tries of this request; 0 is the budget's bound.
 	MaxTries int
 	Cause    Cause
+	// Unsent is set if no byte of the request reached any upstream. Such a
+	// try loads nothing, so the next one costs no budget.
+	Unsent bool
 	// NotRun is set if it is certain that no upstream began to run it.
 	NotRun bool
 	// Repeatable is set if running it twice does no harm.
@@ -78,6 +81,9 @@
 	Final bool
 }
 
+// maxUnsent bounds the tries of a request that reach no upstream.
+const maxUnsent = 4
+
 // Config sets up a Budget. The zero value is useful.
 type Config struct {
 	// Ratio is how many tries after the first are allowed for each first
@@ -132,7 +138,7 @@
 		return VerdictDeadline
 	case t.Final:
 		return VerdictFinal
-	case t.Home:
+	case t.Home, t.Unsent && t.Number < maxUnsent:
 		return VerdictAgain
 	case t.Number >= cmp.Or(t.MaxTries, b.cfg.MaxTries):
 		return VerdictTries
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -24,6 +24,8 @@
 		"third try":                   {retry.Try{Number: 3, NotRun: true}, retry.VerdictTries},
 		"home after a refusal":        {retry.Try{Number: 3, NotRun: true, Home: true}, retry.VerdictAgain},
 		"home, but it may have run":   {retry.Try{Number: 1, Home: true}, retry.VerdictMayHaveRun},
+		"reached nobody":              {retry.Try{Number: 3, NotRun: true, Unsent: true}, retry.VerdictAgain},
+		"reached nobody four times":   {retry.Try{Number: 4, NotRun: true, Unsent: true}, retry.VerdictTries},
 		"no room here in all of time": {retry.Try{Number: 1, NotRun: true, Final: true}, retry.VerdictFinal},
 	}
 	for name, c := range cases {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -86,8 +86,11 @@
 	Ingress, Ready, Directory, Peer, MetricsAddress string
 	// Seeds are addresses of peers to ask while the store is away at the
 	// start.
-	Seeds  []string
-	Bounds Bounds
+	Seeds []string
+	// FirstStart is set if the whole fleet starts for the first time: there is
+	// time then, and VMs spare the store calls by asking their peers first.
+	FirstStart bool
+	Bounds     Bounds
 
 	Store   Store
 	Codec   Codec
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,7 +232,7 @@
 // waitForPeers gives the peers of the settings a moment to tell a VM that
 // starts what they know, before the store is asked.
 func (g *Gateway) waitForPeers(ctx context.Context) {
-	if len(g.cfg.Seeds) == 0 || slices.Contains(g.cfg.Seeds, g.cfg.Peer) {
+	if !g.cfg.FirstStart || len(g.cfg.Seeds) == 0 || slices.Contains(g.cfg.Seeds, g.cfg.Peer) {
 		return
 	}
 	for waited := time.Duration(0); waited < peersFirst && g.snapshot.Load() == nil && ctx.Err() == nil; waited += seedInterval {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -28,6 +28,7 @@
 		text("metrics", "IP:port for metrics"),
 		text("platform", "IP:port of the platform's store"),
 		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
+		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time", Sources: env("first-start")},
 		duration("grace", "time from SIGTERM to SIGKILL", 10*time.Second),
 		duration("max-ttl", "longest time that the directory's answers may hold", 5*time.Second),
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "part of the requests that all VMs together may send again", Sources: env("retry-ratio")},
@@ -47,6 +48,7 @@
 		Fleet: c.String("fleet"), VM: c.String("vm"), Hall: c.String("hall"),
 		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
 		Peer: c.String("peer"), MetricsAddress: c.String("metrics"),
+		FirstStart: c.Bool("first-start"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
 		},
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -97,7 +97,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, in: r, out: w, arrived: time.Now(), id: h.cfg.Dialect.RequestID(r)}
-	snapshot := h.cfg.Snapshot()
+	snapshot := h.await(r.Context())
 	if snapshot == nil {
 		q.refuse(reasonNoConfig)
 		return
@@ -112,6 +112,20 @@
 	q.serve(snapshot)
 }
 
+// await returns what is believed. A VM that has just started waits for a moment
+// until it knows anything: it is about to, and a refusal would use up one of the
+// few retries that clients have.
+func (h *Handler) await(ctx context.Context) *placement.Snapshot {
+	const moment, look = 120 * time.Millisecond, 5 * time.Millisecond
+	for waited := time.Duration(0); waited < moment && ctx.Err() == nil; waited += look {
+		if s := h.cfg.Snapshot(); s != nil {
+			return s
+		}
+		time.Sleep(look)
+	}
+	return h.cfg.Snapshot()
+}
+
 // budget returns the retry budget of a service.
 func (h *Handler) budget(service string) *retry.Budget {
 	h.mu.Lock()
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -111,7 +111,11 @@
 	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "here", Peers: oneVM{}, Now: time.Now})
 	client := upstream.New(upstream.Config{Dialect: plain{}, DialTimeout: 300 * time.Millisecond})
 	f.handler = ingress.New(ingress.Config{
-		Snapshot:  func() *placement.Snapshot { return f.snapshot },
+		Snapshot: func() *placement.Snapshot {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.snapshot
+		},
 		Placer:    placement.New(placement.Config{Region: "here", Loads: loads, Cold: cold, Now: time.Now}),
 		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(),
 		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100},
@@ -123,6 +127,12 @@
 	})
 }
 
+func (f *fixture) setSnapshot(s *placement.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot = s
+}
+
 // ran returns the workers that got a request.
 func (f *fixture) ran(id string) []string {
 	f.mu.Lock()
@@ -200,7 +210,7 @@
 	})
 	Convey("Before any configuration is known, the answer is 503 with a time to come back", t, func() {
 		f := newFixture(t, 1, ok)
-		f.snapshot = nil
+		f.setSnapshot(nil)
 		r := f.ask(http.MethodGet, "/read/", "1", "")
 		So(r.status, ShouldEqual, http.StatusServiceUnavailable)
 		So(r.header.Get("Retry-After"), ShouldNotBeEmpty)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -26,6 +26,8 @@
 type failure struct {
 	cause  retry.Cause
 	notRun bool
+	// unsent is set if no byte reached the worker.
+	unsent bool
 	err    error
 }
 
@@ -73,7 +75,7 @@
 
 func (q *request) decide(ctx context.Context, f *failure, number int) retry.Verdict {
 	verdict := q.handler.budget(q.service).Decide(retry.Try{
-		Number: number, MaxTries: q.route.MaxAttempts, Cause: f.cause, NotRun: f.notRun,
+		Number: number, MaxTries: q.route.MaxAttempts, Cause: f.cause, NotRun: f.notRun, Unsent: f.unsent,
 		Repeatable: q.route.Repeatable, BodyGone: q.body.gone, Expired: ctx.Err() != nil,
 	})
 	q.handler.cfg.Metrics.Retry(string(f.cause), string(verdict))
@@ -181,6 +183,7 @@
 		return f
 	}
 	f.notRun = failed.NotRun()
+	f.unsent = failed.Kind() == upstream.KindUnreachable || failed.Kind() == upstream.KindBusy
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(failed.Header()); ok {
 		c.Load().Told(running, waiting)
 	}
