ingress, operator, program: explain each request by its id

Each request leaves a record (choices with loads, tries with outcomes, route, version, age of what was believed); failed and late ones are kept longer (2048) than answered ones (512) and logged, at most 20 lines a second for each reason, with a count of what was left out. ryehill explain asks a gateway, ryehill logs reads saved logs of several VMs.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -23,6 +23,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -83,9 +84,28 @@
 
 // Choice is a worker that was chosen. Its load has been counted.
 type Choice struct {
-	worker worker.Worker
-	load   *worker.Load
-	remote bool
+	worker     worker.Worker
+	load       *worker.Load
+	remote     bool
+	considered []Considered
+}
+
+// Considered is a worker that was looked at, and why it was or was not taken.
+type Considered struct {
+	ID     string
+	Region string
+	// Busy is how many requests it was thought to hold, Room below how many it
+	// would have been taken. Both are 0 for a cold worker.
+	Busy, Room float64
+	Cold       bool
+}
+
+// String describes the worker for a log.
+func (c Considered) String() string {
+	if c.Cold {
+		return c.ID + " in " + c.Region + ": cold, rate used up"
+	}
+	return fmt.Sprintf("%s in %s: %.1f busy, room below %.1f", c.ID, c.Region, c.Busy, c.Room)
 }
 
 // Worker returns the chosen worker.
@@ -94,6 +114,10 @@
 // Load returns the worker's load, which the caller ends.
 func (c Choice) Load() *worker.Load { return c.load }
 
+// Considered returns the workers that were looked at, best first, also if none
+// was taken.
+func (c Choice) Considered() []Considered { return c.considered }
+
 // Remote reports whether the worker is in another region.
 func (c Choice) Remote() bool { return c.remote }
 
@@ -131,7 +155,7 @@
 	// that have held its keys meanwhile are warm.
 	warm := slices.DeleteFunc(eligible, func(w worker.Worker) bool { return p.cold(s, w) })
 	if len(warm) == 0 {
-		return Choice{}, RefusalCold
+		return choice, RefusalCold
 	}
 	return p.choose(s, r, warm, shareOut(p.cfg.Region, s.Regions, warm, r))
 }
@@ -187,33 +211,37 @@
 // what their rate allows.
 func (p *Placer) choose(s *Snapshot, r Request, workers []worker.Worker, region string) (Choice, Refusal) {
 	service, _ := s.Routes.Service(r.Service)
-	refusal := RefusalNoWorker
-	held := 0
+	refusal, held := RefusalNoWorker, 0
+	var considered []Considered
 	for _, c := range ranked(workers, region, r.Key) {
-		if p.cold(s, c.worker) {
+		seen := Considered{ID: c.worker.ID, Region: region, Cold: p.cold(s, c.worker)}
+		if seen.Cold {
+			considered = append(considered, seen)
 			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
-				return p.take(c.worker), RefusalNone
+				return p.take(c.worker, considered), RefusalNone
 			}
 			if held == 0 {
 				refusal = RefusalCold
 			}
 			continue // Another holds the key until this one is warm.
 		}
-		if p.cfg.Loads.Of(c.worker.ID).Busy() < holderRoom[held]*float64(c.worker.Slots) {
-			return p.take(c.worker), RefusalNone
+		seen.Busy, seen.Room = p.cfg.Loads.Of(c.worker.ID).Busy(), holderRoom[held]*float64(c.worker.Slots)
+		considered = append(considered, seen)
+		if seen.Busy < seen.Room {
+			return p.take(c.worker, considered), RefusalNone
 		}
 		refusal = RefusalBusy
 		if held++; held == len(holderRoom) {
 			break
 		}
 	}
-	return Choice{}, refusal
+	return Choice{considered: considered}, refusal
 }
 
-func (p *Placer) take(w worker.Worker) Choice {
+func (p *Placer) take(w worker.Worker, considered []Considered) Choice {
 	load := p.cfg.Loads.Of(w.ID)
 	load.Begin()
-	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region}
+	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region, considered: considered}
 }
 
 // mix spreads the bits of a number over all others.
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -84,6 +84,9 @@
 	// operators: each an IP:port, and two may be the same where the handler
 	// is the same.
 	Ingress, Ready, Directory, Peer, MetricsAddress string
+	// Token is what operators must show to have requests explained. Without
+	// one they cannot.
+	Token string
 	// Seeds are addresses of peers to ask while the store is away at the
 	// start.
 	Seeds []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/worker"
 	"github.com/ryehill/ryehill/transport/ingress"
+	"github.com/ryehill/ryehill/transport/operator"
 	"github.com/ryehill/ryehill/transport/peer"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -78,6 +79,7 @@
 	upstreams *upstream.Client
 	peers     *peer.Manager
 	ingress   *ingress.Handler
+	decisions *ingress.Decisions
 	snapshot  atomic.Pointer[placement.Snapshot]
 	compiler  compiler
 
@@ -99,8 +101,8 @@
 	start := time.Now()
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log,
-		self:    peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
-		replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
+		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
+		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
 		failed:   make(chan error, 1), watchers: newWatchers(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
@@ -121,7 +123,8 @@
 		Snapshot: g.snapshot.Load, Upstreams: g.upstreams, Dialect: cfg.Dialect, Metrics: cfg.Metrics, Log: g.log,
 		Placer: placement.New(placement.Config{Region: g.region(), Loads: g.loads, Cold: cold, Now: time.Now}),
 		VMs:    func() int { return len(g.members.All()) + 1 },
-		Retry:  retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
+		VM:     cfg.VM, Decisions: g.decisions, Age: g.age,
+		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
 	})
 	if err := g.listen(); err != nil {
 		g.closeListeners()
@@ -148,11 +151,27 @@
 	return regions
 }
 
+// operatorHandler serves metrics and, with a token, explanations.
+func (g *Gateway) operatorHandler() http.Handler {
+	return operator.NewReader(operator.ReaderConfig{
+		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, VM: g.cfg.VM, Find: g.decisions.Find,
+	})
+}
+
+// age returns how old the oldest knowledge is that requests rest on.
+func (g *Gateway) age() time.Duration {
+	oldest := time.Duration(0)
+	for _, kind := range g.watchedKinds() {
+		oldest = max(oldest, time.Since(g.replica.Confirmed(kind)))
+	}
+	return oldest
+}
+
 // listen opens one listener for each distinct address.
 func (g *Gateway) listen() error {
 	g.front = server(g.ingress)
 	entry := g.cfg.EntryHandler(g)
-	handlers := map[string]http.Handler{g.cfg.Ready: entry, g.cfg.Directory: entry, g.cfg.MetricsAddress: g.cfg.Metrics.Handler()}
+	handlers := map[string]http.Handler{g.cfg.Ready: entry, g.cfg.Directory: entry, g.cfg.MetricsAddress: g.operatorHandler()}
 	for address, handler := range handlers {
 		if err := g.listenAt(address, server(handler)); err != nil {
 			return err
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 type Set struct {
 	registry  *prometheus.Registry
 	refused   *prometheus.CounterVec
+	leftOut   *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	routed    *prometheus.CounterVec
 	tries     *prometheus.CounterVec
@@ -44,6 +45,7 @@
 	s := &Set{
 		registry:  r,
 		refused:   counter(r, "refused_total", "Requests that ryehill refused, by reason.", "reason"),
+		leftOut:   counter(r, "log_lines_left_out_total", "Lines that were not logged, by reason.", "reason"),
 		retries:   counter(r, "retries_total", "Questions for another try, by cause and verdict.", "cause", "verdict"),
 		routed:    counter(r, "routed_total", "Requests by service and the rule that decided where they ran.", "service", "rule"),
 		tries:     counter(r, "upstream_tries_total", "Tries at upstreams by result.", "result"),
@@ -88,6 +90,9 @@
 // Refused counts a refusal.
 func (s *Set) Refused(reason string) { s.refused.WithLabelValues(reason).Inc() }
 
+// LogLeftOut counts a line that was not logged.
+func (s *Set) LogLeftOut(reason string) { s.leftOut.WithLabelValues(reason).Inc() }
+
 // Retry counts a question for another try.
 func (s *Set) Retry(cause, verdict string) { s.retries.WithLabelValues(cause, verdict).Inc() }
 
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -47,7 +47,7 @@
 		Flags: append(settings.OperatorFlags(), outputFlag()),
 		Commands: []*cli.Command{
 			shiftCommand(), drainCommand(), capCommand(), confirmCommand(), stopCommand(),
-			statusCommand(), explainCommand(), lookupCommand(), configCommand(), demoCommand(),
+			statusCommand(), explainCommand(), logsCommand(), lookupCommand(), configCommand(), demoCommand(),
 		},
 	}
 }
@@ -207,7 +207,7 @@
 	return &cli.Command{
 		Name: "explain", Usage: "show why a request ran where it did, or the history of a move",
 		ArgsUsage:   "ID",
-		Description: "ID is the Ryehill-Decision header of an answer, or the id of a move.",
+		Description: "ID is the Ryehill-Decision header of an answer, the id of a move or, at a gateway, that of a request.",
 		Action: func(ctx context.Context, c *cli.Command) error {
 			id, err := oneArgument(c, "id")
 			if err != nil {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -25,7 +25,8 @@
 		text("ready", "IP:port for checks of readiness"),
 		text("directory", "IP:port for clients that ask where to go"),
 		text("peer", "IP:port for other VMs"),
-		text("metrics", "IP:port for metrics"),
+		text("metrics", "IP:port for operators: metrics and explanations"),
+		text("token", "bearer token that operators must show to have requests explained; without one they cannot"),
 		text("platform", "IP:port of the platform's store"),
 		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
 		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time", Sources: env("first-start")},
@@ -47,7 +48,7 @@
 	cfg := gateway.Config{
 		Fleet: c.String("fleet"), VM: c.String("vm"), Hall: c.String("hall"),
 		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
-		Peer: c.String("peer"), MetricsAddress: c.String("metrics"),
+		Peer: c.String("peer"), MetricsAddress: c.String("metrics"), Token: c.String("token"),
 		FirstStart: c.Bool("first-start"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
--- a/transport/ingress/answer.go
+++ b/transport/ingress/answer.go
@@ -30,6 +30,8 @@
 	reasonBroken   = "broken"
 	reasonTimeout  = "timeout"
 	reasonLeft     = "client-left"
+	reasonAnswered = "answered"
+	reasonLate     = "late"
 )
 
 const (
@@ -70,7 +72,7 @@
 	case whole && q.in.Method != http.MethodHead && bodyAllowed(a.Status()):
 		header.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
-	q.headSent = true
+	q.headSent, q.status = true, a.Status()
 	q.out.WriteHeader(a.Status())
 	if _, err := q.out.Write(held.Bytes()); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return nil //nolint:nilerr // The client is gone; the worker did its part.
@@ -91,7 +93,7 @@
 // refuse answers that the request was not run and when to come back.
 func (q *request) refuse(reason string) {
 	q.handler.cfg.Metrics.Refused(reason)
-	q.log(reason, http.StatusServiceUnavailable, nil)
+	q.finish(reason, http.StatusServiceUnavailable)
 	after := comeBack + rand.N(comeBackSpread)
 	q.out.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	q.end(http.StatusServiceUnavailable)
@@ -112,7 +114,7 @@
 // reject answers with a status that promises nothing.
 func (q *request) reject(status int, reason string) {
 	q.handler.cfg.Metrics.Refused(reason)
-	q.log(reason, status, nil)
+	q.finish(reason, status)
 	q.end(status)
 }
 
@@ -125,24 +127,20 @@
 func (q *request) fail(ctx context.Context, f *failure, verdict retry.Verdict) {
 	switch {
 	case q.in.Context().Err() != nil:
-		q.abort(reasonLeft, f.err)
+		q.abort(reasonLeft)
 	case !q.mayHaveRun:
 		q.refuse(string(f.cause) + "-" + string(verdict))
 	case ctx.Err() != nil:
-		q.log(reasonTimeout, http.StatusGatewayTimeout, f.err)
-		q.handler.cfg.Metrics.Refused(reasonTimeout)
-		q.end(http.StatusGatewayTimeout)
+		q.reject(http.StatusGatewayTimeout, reasonTimeout)
 	default:
-		q.log(reasonBroken, http.StatusBadGateway, f.err)
-		q.handler.cfg.Metrics.Refused(reasonBroken)
-		q.end(http.StatusBadGateway)
+		q.reject(http.StatusBadGateway, reasonBroken)
 	}
 }
 
 // abort closes the client's connection, so that nothing looks whole.
-func (q *request) abort(reason string, err error) {
+func (q *request) abort(reason string) {
 	q.handler.cfg.Metrics.Refused(reason)
-	q.log(reason, 0, err)
+	q.finish(reason, 0)
 	panic(http.ErrAbortHandler)
 }
 
@@ -151,21 +149,8 @@
 		q.reject(http.StatusRequestEntityTooLarge, reasonTooLarge)
 		return
 	}
-	q.abort(reasonBody, err)
-}
-
-func (q *request) log(reason string, status int, err error) {
-	values := []any{
-		"request", q.id, "reason", reason, "status", status, "service", q.service,
-		"tried", strings.Join(q.tried, ","), "took_ms", time.Since(q.arrived).Milliseconds(),
-	}
-	if s := q.handler.cfg.Snapshot(); s != nil {
-		values = append(values, "version", s.Routes.Version())
-	}
-	if err != nil {
-		values = append(values, "error", err.Error())
-	}
-	q.handler.cfg.Log.Info("ingress: request failed", values...)
+	q.note("body", err.Error())
+	q.abort(reasonBody)
 }
 
 func splitList(value string) []string {
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -32,6 +32,7 @@
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/internal/metrics"
+	"github.com/ryehill/ryehill/state/decision"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -53,6 +54,8 @@
 
 // Config sets up a Handler. All fields but Retry are required.
 type Config struct {
+	// VM names this VM in records.
+	VM string
 	// Snapshot returns what is believed now, or nil before anything is known.
 	Snapshot  func() *placement.Snapshot
 	Placer    *placement.Placer
@@ -60,6 +63,10 @@
 	Dialect   Dialect
 	Metrics   *metrics.Set
 	Log       logr.Logger
+	Decisions *Decisions
+	// Age returns how old the knowledge of workers and configuration is. Nil
+	// leaves it out of records.
+	Age func() time.Duration
 	// VMs returns how many VMs share what a worker accepts; at least 1.
 	VMs func() int
 	// Retry is the budget of each service for tries after the first.
@@ -70,6 +77,7 @@
 type Handler struct {
 	cfg      Config
 	split    *placement.Split
+	lines    *lines
 	stopping atomic.Bool
 	inFlight atomic.Int64
 
@@ -79,7 +87,7 @@
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, split: placement.NewSplit(), budgets: make(map[string]*retry.Budget)}
+	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), budgets: make(map[string]*retry.Budget)}
 }
 
 // Stop makes every answer from now on close its connection, so that clients
@@ -108,7 +116,7 @@
 		q.reject(http.StatusNotFound, reasonNoRoute)
 		return
 	}
-	q.route = matched
+	q.route, q.record.Generation = matched, snapshot.Routes.Version()
 	q.serve(snapshot)
 }
 
@@ -156,8 +164,11 @@
 	// mayHaveRun is set once a worker was given the request and did not say
 	// that it has not run it.
 	mayHaveRun bool
-	// headSent is set once the client has the head of its answer.
+	// headSent is set once the client has the head of its answer, with the
+	// status.
 	headSent bool
+	status   int
+	record   decision.Record
 }
 
 // serve carries a request whose route is known to its answer.
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -64,6 +64,8 @@
 	front    *httptest.Server
 	handler  *ingress.Handler
 	snapshot *placement.Snapshot
+	// decisions are those of the handler.
+	decisions *ingress.Decisions
 
 	mu   sync.Mutex
 	runs map[string][]string // by request id: the workers that got it
@@ -110,6 +112,7 @@
 	loads := worker.NewLoads(time.Now)
 	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "here", Peers: oneVM{}, Now: time.Now})
 	client := upstream.New(upstream.Config{Dialect: plain{}, DialTimeout: 300 * time.Millisecond})
+	f.decisions = ingress.NewDecisions()
 	f.handler = ingress.New(ingress.Config{
 		Snapshot: func() *placement.Snapshot {
 			f.mu.Lock()
@@ -117,7 +120,7 @@
 			return f.snapshot
 		},
 		Placer:    placement.New(placement.Config{Region: "here", Loads: loads, Cold: cold, Now: time.Now}),
-		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(),
+		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(), Decisions: f.decisions,
 		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100},
 	})
 	f.front = httptest.NewServer(f.handler)
@@ -208,6 +211,18 @@
 			So(f.ask(http.MethodGet, "/read/", "5", "").closing, ShouldBeTrue)
 		})
 	})
+	Convey("Every request can be explained by its id", t, func() {
+		f := newFixture(t, 1, ok)
+		f.ask(http.MethodPost, "/pay/", "answered", "")
+		f.ask(http.MethodGet, "/none/", "refused", "")
+		answered, found := f.decisions.Find("answered")
+		So(found, ShouldBeTrue)
+		So(answered.Rule, ShouldEqual, "answered")
+		So(answered.Generation, ShouldEqual, 1)
+		refused, found := f.decisions.Find("refused")
+		So(found, ShouldBeTrue)
+		So(refused.Rule, ShouldEqual, "no-route")
+	})
 	Convey("Before any configuration is known, the answer is 503 with a time to come back", t, func() {
 		f := newFixture(t, 1, ok)
 		f.setSnapshot(nil)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -38,6 +38,7 @@
 		s := q.handler.cfg.Snapshot()
 		if next == nil {
 			choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
+			q.noteChoice(number, choice, refusal)
 			if refusal != placement.RefusalNone {
 				q.refusePlacement(refusal, number)
 				return
@@ -45,20 +46,24 @@
 			next = &choice
 		}
 		var failed *failure
-		failed, next = q.try(ctx, s, *next, number)
+		current, begun := *next, time.Now()
+		failed, next = q.try(ctx, s, current, number)
+		q.noteTry(number, current, begun, failed)
 		if failed == nil {
+			q.finish(reasonAnswered, q.status)
 			return
 		}
 		q.mayHaveRun = q.mayHaveRun || !failed.notRun
 		q.handler.cfg.Metrics.Tried(string(failed.cause))
 		if q.headSent {
-			q.abort(reasonBroken, failed.err)
+			q.abort(reasonBroken)
 			return
 		}
 		if next != nil {
 			continue // Decided while the worker was silent.
 		}
 		verdict := q.decide(ctx, failed, number)
+		q.note("another try", string(verdict))
 		if !verdict.Again() {
 			q.fail(ctx, failed, verdict)
 			return
