--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -336,3 +336,33 @@
 		So(refused, ShouldBeGreaterThan, 90)
 	})
 }
+
+// A region whose workers are all cold gives what they cannot take to warm ones.
+func TestColdRegionLeansOnWarmOnes(t *testing.T) {
+	Convey("With all workers at home cold", t, func() {
+		f := newFixture(map[string]int{"north": 4}, nil)
+		until := f.clock.Now().Add(3 * time.Second)
+		f = newFixture(map[string]int{"north": 4, "south": 4, "east": 4}, func(w *worker.Worker) {
+			if w.Region == "north" {
+				w.ColdUntil = until
+			}
+		})
+		share := f.share(request(0))
+		So(share["north"], ShouldBeLessThan, 0.01)
+		So(share["south"]+share["east"]+share["north"], ShouldAlmostEqual, 1, 1e-9)
+		Convey("unless they are no home of the requests", func() {
+			r := request(1)
+			r.Allows = func(region string) bool { return region == "north" }
+			refused := 0
+			for key := range uint64(100) {
+				r.Key = key
+				if c, refusal := f.placer.Place(f.snapshot, r); refusal == placement.RefusalCold {
+					refused++
+				} else {
+					c.Load().End()
+				}
+			}
+			So(refused, ShouldBeGreaterThan, 80)
+		})
+	})
+}
