object, gateway: wake and ask only for objects that changed

Change: a replica tells apart the revision it is complete up to and the one at which anything changed; only the latter is news; other peers are asked only when the region's watcher is 1.2 s late.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,6 +18,9 @@
 
 const (
 	probeTimeout = 800 * time.Millisecond
+	// watcherLate is the age of knowledge at which this VM takes the word of
+	// any peer, not only that of its region's watcher.
+	watcherLate  = 1200 * time.Millisecond
 	seedInterval = 100 * time.Millisecond
 )
 
@@ -56,7 +59,10 @@
 }
 
 func (g *Gateway) probeMessage(to string) *peerpb.Probe {
-	p := &peerpb.Probe{Replicas: g.replicaRevisions()}
+	p := &peerpb.Probe{Replicas: make(map[string]uint64)}
+	for _, kind := range g.replicatedKinds() {
+		p.Replicas[kind] = g.replica.Content(kind)
+	}
 	for _, m := range g.members.News(to) {
 		p.News = append(p.News, toMember(m))
 	}
@@ -74,7 +80,7 @@
 }
 
 // hear takes in a probe or the reply to one, and fetches what the peer has and
-// this VM has not.
+// this VM has not, unless its region's watcher is about to tell it.
 func (g *Gateway) hear(from peer.Target, p *peerpb.Probe) {
 	news := make([]membership.Member, 0, len(p.GetNews()))
 	for _, m := range p.GetNews() {
@@ -85,7 +91,8 @@
 	g.members.Heard(news)
 	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.At(kind)
-		if theirs := p.GetReplicas()[kind]; theirs > at || !known && theirs > 0 {
+		theirs := p.GetReplicas()[kind]
+		if !known && theirs > 0 || theirs > at && time.Since(g.replica.Confirmed(kind)) > watcherLate {
 			go g.pull(from)
 			return
 		}
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -183,7 +183,7 @@
 	defer deadline.Stop()
 	for {
 		changed := g.replica.Changed()
-		if answer := g.synced(ask); len(answer.GetDeltas()) > 0 || time.Since(asked) >= hold {
+		if answer := g.synced(ask); hasNews(answer) || time.Since(asked) >= hold {
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
 			return answer
 		}
@@ -196,6 +196,16 @@
 	}
 }
 
+// hasNews reports whether an answer changes anything but revisions.
+func hasNews(answer *peerpb.Synced) bool {
+	for _, d := range answer.GetDeltas() {
+		if d.GetFull() || len(d.GetEvents()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // synced returns what a VM lacks, and how old this VM's own knowledge is.
 func (g *Gateway) synced(ask *peerpb.Sync) *peerpb.Synced {
 	answer := &peerpb.Synced{AgeMillis: make(map[string]uint32)}
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -27,6 +27,7 @@
 	mu        sync.Mutex
 	known     bool
 	at        uint64
+	content   uint64 // the revision at which anything last changed
 	confirmed time.Time
 	objects   map[string]Object
 	// history holds changes in the order in which they were heard; it is
@@ -81,16 +82,16 @@
 	r.Merge(Delta{Kind: name, Since: since, At: at, Events: events})
 }
 
-// Merge takes in a delta. It reports whether anything was learnt.
+// Merge takes in a delta. It reports whether any object has changed.
 func (r *Replica) Merge(d Delta) bool {
 	k := r.kind(d.Kind)
 	k.mu.Lock()
-	learnt := k.merge(d)
+	changed := k.merge(d)
 	k.mu.Unlock()
-	if learnt {
+	if changed {
 		r.signal()
 	}
-	return learnt
+	return changed
 }
 
 func (k *kind) merge(d Delta) bool {
@@ -103,6 +104,7 @@
 	if d.At <= k.at {
 		return false
 	}
+	changed := false
 	for _, e := range d.Events {
 		if e.Gone {
 			// The store tells the revision of the last change before the
@@ -110,11 +112,11 @@
 			e.Revision = max(e.Revision, d.At)
 		}
 		if e.Revision > k.at {
-			k.take(e)
+			changed = k.take(e) || changed
 		}
 	}
 	k.at = d.At
-	return true
+	return changed
 }
 
 func (k *kind) reset(d Delta) bool {
@@ -123,7 +125,7 @@
 	}
 	first := !k.known
 	held := make(map[string]bool, len(d.Events))
-	changed := first || d.At > k.at
+	changed := first
 	for _, e := range d.Events {
 		held[e.Name] = true
 		changed = k.take(e) || changed
@@ -156,6 +158,7 @@
 	default:
 		k.objects[e.Name] = e.Object
 	}
+	k.content = max(k.content, e.Revision)
 	k.history = append(k.history, e)
 	if len(k.history) > 2*historyLength {
 		k.forget()
@@ -180,6 +183,16 @@
 	return k.at, k.known
 }
 
+// Content returns the revision at which an object of a kind last changed, as
+// far as this replica knows. A replica that is complete up to it lacks nothing
+// that this one has.
+func (r *Replica) Content(name string) uint64 {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.content
+}
+
 // Objects returns all objects of a kind, in order of their names.
 func (r *Replica) Objects(name string) []Object {
 	k := r.kind(name)
