gateway: the first start asks seeds, watch times follow from the bounds

Change: at the first start of a fleet VMs leave the store to the seeds for up to 3 s; after news the next watch holds 0.3 s; the age at which a VM calls the store is the tighter bound less 0.8 s, a watch half of that. Tests: each VM has an IP number of its own (a port of freeAddress had been taken once).

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -69,6 +69,9 @@
 	RetryRatio float64
 	// MaxTTL bounds for how long the directory's answers hold.
 	MaxTTL time.Duration
+	// ApplyWithin is within what time a change must be in force that the
+	// store has acknowledged: of the routes, or of a worker that leaves.
+	ApplyWithin time.Duration
 }
 
 // Config sets up a Gateway. All fields but Seeds and the intervals are
@@ -103,29 +106,33 @@
 	Log          logr.Logger
 	Metrics      *metrics.Set
 
-	// WatchHold is how long the store holds a watch. Default 1 s.
-	WatchHold time.Duration
 	// StaleAfter is the age at which a VM calls the store itself, if no peer
-	// has confirmed what it believes. Every change is in force within this
-	// time and that of a call. It must be above WatchHold. Default 1.7 s.
+	// has confirmed what it believes. Default: Bounds.ApplyWithin less what a
+	// call and the way of a request may take.
 	StaleAfter time.Duration
+	// WatchHold is how long the store holds a watch. Default: half of
+	// StaleAfter, so that a watcher's word reaches the others in time.
+	WatchHold time.Duration
 	// ProbeInterval is the time between two probes. Default 500 ms.
 	ProbeInterval time.Duration
 }
 
-// Defaults of the intervals.
 const (
-	DefaultWatchHold     = time.Second
-	DefaultStaleAfter    = 1700 * time.Millisecond
+	// DefaultProbeInterval is the time between two probes of other VMs.
 	DefaultProbeInterval = 500 * time.Millisecond
+	// applyMargin is kept of ApplyWithin for a VM's own call to the store and
+	// for the way of the last request that was decided before.
+	applyMargin = 800 * time.Millisecond
+	// leastStale bounds StaleAfter from below.
+	leastStale = 500 * time.Millisecond
 )
 
 func (c *Config) setDefaults() {
-	if c.WatchHold <= 0 {
-		c.WatchHold = DefaultWatchHold
-	}
 	if c.StaleAfter <= 0 {
-		c.StaleAfter = DefaultStaleAfter
+		c.StaleAfter = max(c.Bounds.ApplyWithin-applyMargin, leastStale)
+	}
+	if c.WatchHold <= 0 {
+		c.WatchHold = c.StaleAfter / 2
 	}
 	if c.ProbeInterval <= 0 {
 		c.ProbeInterval = DefaultProbeInterval
@@ -159,6 +166,9 @@
 	if c.Bounds.Grace <= 0 {
 		add("grace", "want a time above 0")
 	}
+	if c.Bounds.ApplyWithin <= 0 {
+		add("apply-within", "want a time above 0")
+	}
 	if c.Bounds.RetryRatio < 0 || c.Bounds.RetryRatio > 1 {
 		add("retry-ratio", "want 0 to 1")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,8 +56,9 @@
 	workerIdle = 8 * time.Second
 	// onceIdle is for how long it is good for a request that runs only once.
 	onceIdle = 2 * time.Second
-	// peersFirst is how long a VM that starts waits for its peers' word.
-	peersFirst = 600 * time.Millisecond
+	// peersFirst is how long a VM waits for its peers' word when the whole
+	// fleet starts for the first time.
+	peersFirst = 3 * time.Second
 	// retryPart of the allowed ratio is used: a VM cannot tell requests that
 	// other VMs count from those in flight to it.
 	retryPart = 0.7
@@ -71,7 +72,9 @@
 	cfg  Config
 	log  logr.Logger
 	self peer.Identity
-	life *fsm.FSM
+	// started is when the gateway was made.
+	started time.Time
+	life    *fsm.FSM
 
 	replica   *object.Replica
 	members   *membership.Table
@@ -100,7 +103,7 @@
 	cfg.setDefaults()
 	start := time.Now()
 	g := &Gateway{
-		cfg: cfg, log: cfg.Log,
+		cfg: cfg, log: cfg.Log, started: start,
 		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
 		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
@@ -241,20 +244,27 @@
 	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop}
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
-			g.waitForPeers(ctx)
+			g.waitForPeers(ctx, kind)
 			g.watchLoop(ctx, kind)
 		})
 	}
 	return loops
 }
 
-// waitForPeers gives the peers of the settings a moment to tell a VM that
-// starts what they know, before the store is asked.
-func (g *Gateway) waitForPeers(ctx context.Context) {
-	if !g.cfg.FirstStart || len(g.cfg.Seeds) == 0 || slices.Contains(g.cfg.Seeds, g.cfg.Peer) {
-		return
-	}
-	for waited := time.Duration(0); waited < peersFirst && g.snapshot.Load() == nil && ctx.Err() == nil; waited += seedInterval {
+// asksPeersFirst reports whether this VM leaves it to the peers of the settings
+// to ask the store, because the whole fleet starts for the first time.
+func (g *Gateway) asksPeersFirst() bool {
+	return g.cfg.FirstStart && len(g.cfg.Seeds) > 0 && !slices.Contains(g.cfg.Seeds, g.cfg.Peer) &&
+		time.Since(g.started) < peersFirst
+}
+
+// waitForPeers waits until a kind is known, as long as peers are to be asked
+// first.
+func (g *Gateway) waitForPeers(ctx context.Context, kind string) {
+	for ctx.Err() == nil && g.asksPeersFirst() {
+		if _, known := g.replica.At(kind); known {
+			return
+		}
 		sleep(ctx, seedInterval)
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,7 +28,7 @@
 // patience bounds every wait for a condition.
 const patience = 15 * time.Second
 
-// staleAfter is that of the VMs in these tests.
+// staleAfter is the age at which the VMs of these tests call the store.
 const staleAfter = 1200 * time.Millisecond
 
 // vm is one gateway under test.
@@ -72,13 +74,13 @@
 	f.store.put(kindWorkers, id, worker.Worker{Service: service, Hall: hall, Slots: 4, Address: strings.TrimPrefix(s.URL, "http://")})
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+var started atomic.Int64
+
+// newIP returns an IP number of this test's own, so that no fixed port of it can
+// be taken, not even by an outgoing connection.
+func newIP() string {
+	n := started.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 91+os.Getpid()%90, n/250, 1+n%250)
 }
 
 var halls = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -86,15 +88,16 @@
 // start starts a VM; change may alter its settings.
 func (f *fleet) start(name, hall string, change func(*gateway.Config, *door)) *vm {
 	f.t.Helper()
-	v := &vm{name: name, front: freeAddress(f.t), door: &door{store: f.store, calls: make(map[string]int)}, done: make(chan struct{})}
-	entry := freeAddress(f.t)
+	v := &vm{name: name, front: newIP() + ":8001", door: &door{store: f.store, calls: make(map[string]int)}, done: make(chan struct{})}
+	ip, _, _ := net.SplitHostPort(v.front)
+	entry := ip + ":8002"
 	cfg := gateway.Config{
 		Fleet: "test", VM: name, Hall: hall, Halls: halls,
-		Ingress: v.front, Ready: entry, Directory: entry, Peer: freeAddress(f.t), MetricsAddress: freeAddress(f.t),
-		Seeds: slices.Clone(f.seeds), Bounds: gateway.Bounds{Grace: 3 * time.Second, RetryRatio: 0.1, MaxTTL: 5 * time.Second},
+		Ingress: v.front, Ready: entry, Directory: entry, Peer: ip + ":8003", MetricsAddress: ip + ":8004",
+		Seeds: slices.Clone(f.seeds), Bounds: gateway.Bounds{Grace: 3 * time.Second, RetryRatio: 0.1, MaxTTL: 5 * time.Second, ApplyWithin: 2 * time.Second},
 		Store: v.door, Codec: codec{}, Dialect: dialect{}, Log: logr.Discard(), Metrics: metrics.New(),
-		EntryHandler: func(*gateway.Gateway) http.Handler { return http.NotFoundHandler() },
-		WatchHold:    500 * time.Millisecond, StaleAfter: staleAfter, ProbeInterval: 100 * time.Millisecond,
+		EntryHandler:  func(*gateway.Gateway) http.Handler { return http.NotFoundHandler() },
+		ProbeInterval: 100 * time.Millisecond,
 	}
 	if change != nil {
 		change(&cfg, v.door)
@@ -373,7 +376,7 @@
 	if !errors.Is(err, gateway.ErrConfig) {
 		t.Fatal(err)
 	}
-	for _, field := range []string{"fleet", "vm", "hall", "halls", "ingress", "ready", "directory", "peer", "metrics", "seeds", "grace", "retry-ratio", "max-ttl"} {
+	for _, field := range []string{"fleet", "vm", "hall", "halls", "ingress", "ready", "directory", "peer", "metrics", "seeds", "grace", "retry-ratio", "max-ttl", "apply-within"} {
 		if !strings.Contains(err.Error(), field+": ") {
 			t.Errorf("%s is not named in %q", field, err)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -111,11 +111,14 @@
 	}
 }
 
-// startLoop asks the peers of the settings for what they know, until something
-// is known. It saves the store most of the calls of a start, and is all there
+// startLoop asks the peers of the settings for what they know, until enough is
+// known to serve and to find other VMs. It saves the store most of the calls of a start, and is all there
 // is while the store is away.
 func (g *Gateway) startLoop(ctx context.Context) {
-	for i := 0; ctx.Err() == nil && g.snapshot.Load() == nil && len(g.cfg.Seeds) > 0; i++ {
+	for i := 0; ctx.Err() == nil && len(g.cfg.Seeds) > 0; i++ {
+		if g.snapshot.Load() != nil || g.watcher(time.Now()).ID != g.cfg.VM && g.asksPeersFirst() {
+			return
+		}
 		if seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]; seed != g.cfg.Peer {
 			g.pull(peer.Target{Address: seed})
 		}
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -17,7 +17,7 @@
 
 const (
 	// askHold is how long a watcher may hold the question for news back.
-	askHold = 500 * time.Millisecond
+	askHold = 350 * time.Millisecond
 	// askGrace is how much longer the answer may take before another VM is
 	// asked.
 	askGrace = 400 * time.Millisecond
@@ -120,7 +120,11 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		m := g.watcher(now)
-		g.watchers.choose(m.ID == g.cfg.VM && g.snapshot.Load() != nil)
+		if m.ID == g.cfg.VM && g.asksPeersFirst() {
+			sleep(ctx, seedInterval) // It knows no peers yet; startLoop asks.
+			continue
+		}
+		g.watchers.choose(m.ID == g.cfg.VM)
 		if m.ID == g.cfg.VM {
 			sleep(ctx, noWatcher)
 			continue
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -26,6 +26,10 @@
 	// gather is how long a watcher waits after news before it watches again,
 	// so that changes which come close together cost one call.
 	gather = 100 * time.Millisecond
+	// afterNews is the hold of a watch that follows one which brought news.
+	// Such a one only shows that the replica was complete when it was asked
+	// for, so the next must not be long in coming.
+	afterNews = 300 * time.Millisecond
 	// atOnce is the hold of a watch that only asks for what has changed.
 	atOnce = time.Millisecond
 )
@@ -34,14 +38,18 @@
 // holds while other VMs ask this one, else by a call of its own whenever nobody
 // has confirmed for too long that the replica is complete.
 func (g *Gateway) watchLoop(ctx context.Context, kind string) {
-	failures, forgotten := 0, false
+	failures, forgotten, news := 0, false, false
 	for ctx.Err() == nil {
 		hold, due := g.dueCall(kind)
+		if news {
+			hold = min(hold, afterNews)
+		}
 		if !due {
 			g.waitDue(ctx, kind)
 			continue
 		}
-		err := g.follow(ctx, kind, hold, forgotten)
+		var err error
+		news, err = g.follow(ctx, kind, hold, forgotten)
 		forgotten = errors.Is(err, ErrForgotten)
 		switch {
 		case err == nil && failures > 0:
@@ -83,8 +91,9 @@
 	}
 }
 
-// follow does one call: a watch of what is known, or a list.
-func (g *Gateway) follow(ctx context.Context, kind string, hold time.Duration, list bool) error {
+// follow does one call: a watch of what is known, or a list. It reports whether
+// a watch brought news.
+func (g *Gateway) follow(ctx context.Context, kind string, hold time.Duration, list bool) (news bool, err error) {
 	since, known := g.replica.At(kind)
 	asked := time.Now()
 	if !known || list {
@@ -93,11 +102,11 @@
 			g.replica.Reset(kind, objects, at)
 			g.replica.Confirm(kind, asked)
 		}
-		return err
+		return false, err
 	}
 	events, at, err := g.cfg.Store.Watch(ctx, kind, since, hold)
 	if err != nil {
-		return err
+		return false, err
 	}
 	g.replica.Apply(kind, since, events, at)
 	confirmed := asked
@@ -110,7 +119,7 @@
 	if len(events) > 0 {
 		sleep(ctx, gather)
 	}
-	return nil
+	return len(events) > 0, nil
 }
 
 // backoff grows with the failures in a row and is spread, so that VMs do not
@@ -135,6 +144,7 @@
 		}
 		sleep(ctx, backoff(failures))
 	}
+	g.waitForPeers(ctx, kind)
 	wait := firstMembers
 	for ctx.Err() == nil {
 		if _, known := g.replica.At(kind); known && !g.watches() {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,8 +33,8 @@
 		duration("grace", "time from SIGTERM to SIGKILL", 10*time.Second),
 		duration("max-ttl", "longest time that the directory's answers may hold", 5*time.Second),
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "part of the requests that all VMs together may send again", Sources: env("retry-ratio")},
-		duration("watch-hold", "time that the store holds a watch", gateway.DefaultWatchHold),
-		duration("stale-after", "age of what is believed at which a VM calls the store itself", gateway.DefaultStaleAfter),
+		duration("apply-within", "time within which an acknowledged change of the routes must be in force", 2500*time.Millisecond),
+		duration("leave-within", "time within which a worker that leaves must get nothing more", 2500*time.Millisecond),
 		duration("probe-interval", "time between two probes of other VMs", gateway.DefaultProbeInterval),
 		&cli.BoolFlag{Name: "verbose", Usage: "log what helps to find a fault", Sources: env("verbose")},
 		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -52,8 +52,9 @@
 		FirstStart: c.Bool("first-start"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
+			ApplyWithin: min(c.Duration("apply-within"), c.Duration("leave-within")),
 		},
-		WatchHold: c.Duration("watch-hold"), StaleAfter: c.Duration("stale-after"), ProbeInterval: c.Duration("probe-interval"),
+		ProbeInterval: c.Duration("probe-interval"),
 	}
 	for seed := range strings.SplitSeq(c.String("seeds"), ",") {
 		if seed = strings.TrimSpace(seed); seed != "" {
