--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -111,16 +111,23 @@
 	}
 }
 
-// startLoop asks the peers of the settings for what they know, until enough is
-// known to serve and to find other VMs. It saves the store most of the calls of a start, and is all there
-// is while the store is away.
+// startLoop asks the peers of the settings for news until this VM can serve and,
+// at the first start of a fleet, as long as peers are to be asked first: by then
+// all know each other and agree on who watches. It saves the store most of the
+// calls of a start, and is all there is while the store is away.
 func (g *Gateway) startLoop(ctx context.Context) {
-	for i := 0; ctx.Err() == nil && len(g.cfg.Seeds) > 0; i++ {
-		if g.snapshot.Load() != nil || g.watcher(time.Now()).ID != g.cfg.VM && g.asksPeersFirst() {
-			return
+	for i := 0; ctx.Err() == nil && len(g.cfg.Seeds) > 0 && (g.snapshot.Load() == nil || g.asksPeersFirst()); i++ {
+		seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]
+		if seed == g.cfg.Peer {
+			sleep(ctx, seedInterval)
+			continue
+		}
+		hold := time.Duration(0)
+		if g.asksPeersFirst() {
+			hold = askHold
 		}
-		if seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]; seed != g.cfg.Peer {
-			g.pull(peer.Target{Address: seed})
+		if err := g.askNews(ctx, peer.Target{Address: seed}, hold); err != nil {
+			g.log.V(1).Info("peer: a seed has no news", "seed", seed, "error", err.Error())
 		}
 		sleep(ctx, seedInterval)
 	}
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -118,12 +118,12 @@
 // askLoop asks the region's watcher for news, again and again.
 func (g *Gateway) askLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
-		m := g.watcher(now)
-		if m.ID == g.cfg.VM && g.asksPeersFirst() {
-			sleep(ctx, seedInterval) // It knows no peers yet; startLoop asks.
+		if g.asksPeersFirst() {
+			sleep(ctx, seedInterval) // startLoop asks the seeds.
 			continue
 		}
+		now := time.Now()
+		m := g.watcher(now)
 		g.watchers.choose(m.ID == g.cfg.VM)
 		if m.ID == g.cfg.VM {
 			sleep(ctx, noWatcher)
