--- a/transport/ingress/start_test.go
+++ b/transport/ingress/start_test.go
@@ -31,20 +31,21 @@
 // Workers whose machines are gone get no request, so passing them over costs
 // neither the request's tries nor the budget.
 func TestUnreachableWorkersCostNoTry(t *testing.T) {
-	f := newFixture(t, 1, ok)
-	workers := append([]worker.Worker{}, f.snapshot.Workers.Service("s")...)
-	for i := range 2 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	const gone, rounds = 3, 12
+	for round := range rounds {
+		f := newFixture(t, 1, ok)
+		workers := append([]worker.Worker{}, f.snapshot.Workers.Service("s")...)
+		for i := range gone {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			workers = append(workers, worker.Worker{ID: fmt.Sprintf("gone%d", i), Service: "s", Region: "here", Slots: 4, Address: l.Addr().String()})
+			_ = l.Close()
 		}
-		workers = append(workers, worker.Worker{ID: fmt.Sprintf("gone%d", i), Service: "s", Region: "here", Slots: 4, Address: l.Addr().String()})
-		_ = l.Close()
-	}
-	f.snapshot.Workers = worker.NewSet(workers)
-	for i := range 30 {
-		if r := f.ask(http.MethodPost, "/pay/", fmt.Sprint(i), ""); r.status != http.StatusOK {
-			t.Fatalf("request %d: status %d", i, r.status)
+		f.snapshot.Workers = worker.NewSet(workers)
+		if r := f.ask(http.MethodPost, "/pay/", fmt.Sprint(round), ""); r.status != http.StatusOK {
+			t.Fatalf("round %d: status %d", round, r.status)
 		}
 	}
 }
