--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -100,7 +100,7 @@
 	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
 	next := stopWaiting()
 	if err != nil {
-		return q.judge(ctx, c, err), next
+		return q.judge(c, err), next
 	}
 	if next != nil {
 		next.Load().End() // The answer came at the last moment.
@@ -181,7 +181,7 @@
 }
 
 // judge says what a failed send means and notes it of the worker.
-func (q *request) judge(ctx context.Context, c placement.Choice, err error) *failure {
+func (q *request) judge(c placement.Choice, err error) *failure {
 	f := &failure{cause: retry.CauseBroken, err: err}
 	var failed *upstream.Error
 	if !errors.As(err, &failed) {
