object: tell peers of a change that a watch missed

A watch that hears nothing while the store drops its history returns a revision beyond the missed change; the list after the 410 shows the change, but the history offered it under its own, older revision, which peers took to be known. Change: it is offered under the list's revision, and a receiver takes in what a delta brings by the object's own revision alone.

--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -32,10 +32,18 @@
 	objects   map[string]Object
 	// history holds changes in the order in which they were heard; it is
 	// complete from revision oldest on.
-	history []Event
+	history []change
 	oldest  uint64
 }
 
+// change is an event in the history. Whoever is complete up to a revision below
+// news lacks it. That is the event's own revision, or that of a list which
+// showed a change that a watch had missed.
+type change struct {
+	Event
+	news uint64
+}
+
 // NewReplica returns a replica that knows nothing.
 func NewReplica() *Replica {
 	return &Replica{kinds: make(map[string]*kind), changed: make(chan struct{})}
@@ -111,9 +119,7 @@
 			// end; a peer that is behind must see the end as news.
 			e.Revision = max(e.Revision, d.At)
 		}
-		if e.Revision > k.at {
-			changed = k.take(e) || changed
-		}
+		changed = k.take(e, d.At) || changed
 	}
 	k.at = d.At
 	return changed
@@ -128,12 +134,12 @@
 	changed := first
 	for _, e := range d.Events {
 		held[e.Name] = true
-		changed = k.take(e) || changed
+		changed = k.take(e, d.At) || changed
 	}
 	for name, o := range k.objects {
 		// An object that was made after the list is not missing from it.
 		if !held[name] && o.Revision <= d.At {
-			changed = k.take(Event{Object: Object{Name: name, Revision: d.At}, Gone: true}) || changed
+			changed = k.take(Event{Object: Object{Name: name, Revision: d.At}, Gone: true}, d.At) || changed
 		}
 	}
 	k.known = true
@@ -144,8 +150,9 @@
 	return changed
 }
 
-// take takes in one change unless it is older than what is held.
-func (k *kind) take(e Event) bool {
+// take takes in one change, heard with a state of revision at, unless it is
+// older than what is held.
+func (k *kind) take(e Event, at uint64) bool {
 	held, ok := k.objects[e.Name]
 	switch {
 	case ok && (e.Revision < held.Revision || !e.Gone && same(held, e.Object)):
@@ -158,8 +165,12 @@
 	default:
 		k.objects[e.Name] = e.Object
 	}
-	k.content = max(k.content, e.Revision)
-	k.history = append(k.history, e)
+	news := e.Revision
+	if news <= k.at {
+		news = at
+	}
+	k.content = max(k.content, news)
+	k.history = append(k.history, change{Event: e, news: news})
 	if len(k.history) > 2*historyLength {
 		k.forget()
 	}
@@ -168,8 +179,8 @@
 
 // forget drops the older half of the history.
 func (k *kind) forget() {
-	for _, e := range k.history[:historyLength] {
-		k.oldest = max(k.oldest, e.Revision)
+	for _, c := range k.history[:historyLength] {
+		k.oldest = max(k.oldest, c.news)
 	}
 	k.history = slices.Clone(k.history[historyLength:])
 }
@@ -223,9 +234,9 @@
 		}
 		return d, true
 	}
-	for _, e := range k.history {
-		if e.Revision > revision {
-			d.Events = append(d.Events, e)
+	for _, c := range k.history {
+		if c.news > revision {
+			d.Events = append(d.Events, c.Event)
 		}
 	}
 	return d, true
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -121,6 +121,42 @@
 	})
 }
 
+// A watch may miss a change and yet say that it is complete beyond it, when the
+// store drops its history just then. The list that follows shows the change, and
+// peers that believed the same must hear of it, though its revision is older than
+// what they take themselves to be complete up to.
+func TestPeersHearOfWhatAWatchMissed(t *testing.T) {
+	for name, missed := range map[string]object.Object{
+		"a change":     {Name: "a", Revision: 99, Spec: []byte("leaving")},
+		"a new object": {Name: "b", Revision: 99, Spec: []byte("closed")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			old := object.Object{Name: "a", Revision: 40, Spec: []byte("ready")}
+			watcher, peer := object.NewReplica(), object.NewReplica()
+			for _, r := range []*object.Replica{watcher, peer} {
+				r.Reset(kind, []object.Object{old}, 90)
+				r.Apply(kind, 90, nil, 100) // The change at 99 was not told.
+			}
+			list := []object.Object{missed}
+			if missed.Name != old.Name {
+				list = append(list, old)
+			}
+			watcher.Reset(kind, list, 105)
+			at, known := peer.At(kind)
+			d, ok := watcher.Since(kind, at, known)
+			if !ok || !peer.Merge(d) {
+				t.Fatalf("the peer heard nothing: %+v", d)
+			}
+			for _, o := range peer.Objects(kind) {
+				if o.Name == missed.Name && o.Revision == missed.Revision {
+					return
+				}
+			}
+			t.Errorf("the peer holds %+v", peer.Objects(kind))
+		})
+	}
+}
+
 func TestDeltas(t *testing.T) {
 	Convey("A replica that knows nothing", t, func() {
 		r := object.NewReplica()
