--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -37,8 +37,8 @@
 }
 
 // change is an event in the history. Whoever is complete up to a revision below
-// news lacks it. That is the event's own revision, or that of a list which
-// showed a change that a watch had missed.
+// news may lack it: the one up to which it was told together with others, whose
+// order it keeps.
 type change struct {
 	Event
 	news uint64
@@ -125,13 +125,14 @@
 	return changed
 }
 
+// reset takes in a list. What was made and removed again since the last one is
+// in neither, so a peer that is behind the list can only be told everything.
 func (k *kind) reset(d Delta) bool {
 	if k.known && d.At < k.at {
 		return false
 	}
-	first := !k.known
+	changed := !k.known
 	held := make(map[string]bool, len(d.Events))
-	changed := first
 	for _, e := range d.Events {
 		held[e.Name] = true
 		changed = k.take(e, d.At) || changed
@@ -142,16 +143,16 @@
 			changed = k.take(Event{Object: Object{Name: name, Revision: d.At}, Gone: true}, d.At) || changed
 		}
 	}
-	k.known = true
-	k.at = d.At
-	if first {
-		k.history, k.oldest = nil, d.At
+	if changed {
+		k.content = d.At
 	}
+	k.known, k.at = true, d.At
+	k.history, k.oldest = nil, d.At
 	return changed
 }
 
-// take takes in one change, heard with a state of revision at, unless it is
-// older than what is held.
+// take takes in one change, told together with all others up to revision at,
+// unless it is older than what is held.
 func (k *kind) take(e Event, at uint64) bool {
 	held, ok := k.objects[e.Name]
 	switch {
@@ -165,12 +166,8 @@
 	default:
 		k.objects[e.Name] = e.Object
 	}
-	news := e.Revision
-	if news <= k.at {
-		news = at
-	}
-	k.content = max(k.content, news)
-	k.history = append(k.history, change{Event: e, news: news})
+	k.content = max(k.content, at)
+	k.history = append(k.history, change{Event: e, news: at})
 	if len(k.history) > 2*historyLength {
 		k.forget()
 	}
