traffic: one way to read and change the traffic object, for any store

Change: package coordination/traffic holds the interface of the store, the change on a condition and the controller's step; the daemon's part is an adapter.

Ruled out: a second implementation of plan, confirm, stop and step in the gateway.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,9 +14,8 @@
 	"github.com/ryehill/ryehill/coordination/assign"
 	"github.com/ryehill/ryehill/coordination/controller"
 	"github.com/ryehill/ryehill/coordination/intent"
-	"github.com/ryehill/ryehill/coordination/spread"
+	"github.com/ryehill/ryehill/coordination/traffic"
 	"github.com/ryehill/ryehill/state/spec"
-	"github.com/ryehill/ryehill/transport/operator"
 	"github.com/ryehill/ryehill/transport/platform"
 )
 
@@ -44,7 +43,9 @@
 // controlLoop steps moves, while this VM holds the controller's lease.
 func (d *Daemon) controlLoop(ctx context.Context) {
 	every(ctx, d.cfg.ControlInterval, func() {
-		if !d.busy() || d.life.Current() != phaseServing || !d.candidate() {
+		// An idle fleet costs the platform nothing: without a move no VM asks
+		// for the lease.
+		if !traffic.Busy(d.view.Load().Traffic()) || d.life.Current() != phaseServing || !d.candidate() {
 			return
 		}
 		if !d.holdLease(ctx) {
@@ -55,17 +56,6 @@
 	})
 }
 
-// busy reports whether any move may need a step. Without one, no VM asks for
-// the lease, so that an idle fleet costs the platform nothing.
-func (d *Daemon) busy() bool {
-	for _, m := range d.view.Load().Traffic().Moves {
-		if !m.Ended() {
-			return true
-		}
-	}
-	return false
-}
-
 // candidate reports whether this VM is among the few that ask for the lease.
 func (d *Daemon) candidate() bool {
 	all := []string{d.cfg.VM}
@@ -134,35 +124,22 @@
 }
 
 // step decides on the newest state of the platform and writes on the condition
-// that it still is the newest.
+// that it still is the newest. If the reads took so long that the lease may be
+// another's, nothing is written.
 func (d *Daemon) step(ctx context.Context) {
-	traffic, version, err := operator.ReadTraffic(ctx, d.platform)
-	d.metrics.PlatformCall("traffic", err)
-	if err != nil {
-		return
-	}
-	halls, err := operator.ReadHalls(ctx, d.platform)
-	d.metrics.PlatformCall("statuses", err)
+	written, actions, err := traffic.Step(ctx, traffic.StepConfig{
+		Store: d.traffic, Fleet: d.view.Load().Fleet(), Now: d.now,
+		Operation: func() string { return d.operation("step") },
+		Holds:     func() bool { return d.now().Before(d.lease.good) },
+	})
 	if err != nil {
+		d.log.Info("controller: no step", "error", err.Error())
 		return
 	}
-	v := d.view.Load()
-	next, actions := controller.Next(controller.Facts{
-		Fleet: v.Fleet(), Traffic: traffic, Version: version, Halls: halls, Now: d.now(),
-	})
 	if len(actions) == 0 {
 		return
 	}
-	if !d.now().Before(d.lease.good) {
-		return // The reads took so long that the lease may be another's.
-	}
-	written, err := operator.WriteTraffic(ctx, d.platform, next, version, d.operation("step"))
-	d.metrics.PlatformCall("step", err)
-	if err != nil {
-		d.log.Info("controller: step not written", "error", err.Error())
-		return
-	}
-	d.store.Apply(spread.Changes{Since: written.Version, Objects: []spec.Object{written}})
+	d.changed(written)
 	for _, a := range actions {
 		d.metrics.Stepped(string(a.Rule))
 		d.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason)
@@ -176,7 +153,7 @@
 		return
 	}
 	d.lease.swept = now
-	plans, err := d.platform.List(ctx, operator.KindPlan)
+	plans, err := d.platform.List(ctx, kindPlan)
 	if err != nil {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	meter     *load.Meter
 	metrics   *metrics.Set
 	platform  *platform.Client
+	traffic   trafficStore
 	upstreams *upstream.Client
 	polls     *http.Client
 	peers     *peer.Manager
@@ -204,8 +205,13 @@
 	d.entryServer = entry.Server(entry.New(entry.Config{
 		Engine: d.engine, Lookup: lookup, Log: d.log, TrustedCallers: d.cfg.TrustedCallers,
 	}))
+	d.traffic = trafficStore{platform: d.platform, metrics: d.metrics}
 	api, err := operator.New(operator.Config{
 		Token: d.cfg.Token, VM: d.cfg.VM, Log: d.log, Platform: d.platform, Store: d.store, View: d.view.Load,
+		Intents: operator.IntentsConfig{
+			VM: d.cfg.VM, Log: d.log, Store: d.traffic, Changed: d.changed,
+			View: func(t *spec.Traffic) *view.View { return d.view.Load().WithTraffic(t) },
+		},
 		Members: d.members, Decisions: d.decisions, Metrics: d.metrics, Ready: d.ready, Find: d.findDecision, Own: d.sums,
 	})
 	if err != nil {
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -14,7 +14,6 @@
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/spec"
-	"github.com/ryehill/ryehill/transport/operator"
 	"github.com/ryehill/ryehill/transport/peer"
 	"github.com/ryehill/ryehill/transport/platform"
 )
@@ -53,7 +52,7 @@
 		if err != nil {
 			return
 		}
-		o := spec.Object{Key: spec.Key{Kind: operator.KindStatus, Name: d.cfg.Hall}, Spec: raw}
+		o := spec.Object{Key: spec.Key{Kind: kindStatus, Name: d.cfg.Hall}, Spec: raw}
 		_, err = d.platform.Put(ctx, o, platform.Always(), d.cfg.VM+"-"+strconv.FormatUint(d.self.Start, 36)+"-"+strconv.Itoa(number))
 		d.metrics.PlatformCall("report", err)
 	})
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -63,7 +63,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), statusPatience)
 	defer cancel()
-	halls, err := ReadHalls(ctx, a.cfg.Platform)
+	halls, err := a.cfg.Intents.Store.Halls(ctx)
 	if err != nil {
 		s.Platform = "away: " + err.Error()
 	}
