gateway: operators' intents, and caps on the balance between regions

Change: placement asks the operators' moves and caps before it looks at workers' load; each VM counts its own requests, so no set of VMs passes a cap. Statuses of halls come from peers, the controller is the first live VM by a hash, writes are conditional and known again by an operation id. The traffic object is told from peer to peer and not watched.

Ruled out: a lease (no step is safer for it), statuses in the store and a fourth watch (calls), caps by the client's hall (a drained hall would not empty).

steer: a move's credit is that of its share, not of its cap. Before, steps went twice as far as planned (988 of 10,000 with a share of 5 %).

Nothing changes without an intent.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -9,7 +9,9 @@
 // over more workers would make every worker slow (docs/design/platform.md has
 // the figures). A region that holds
 // less than its share of a service's slots gives a stable part of the keys to
-// those that hold more.
+// those that hold more. Operators' moves and caps go before both: a move sends a
+// stable part of the keys of one hall to others, and a cap bounds the moves and
+// the giving together.
 //
 // The package does no I/O and sends nothing; every VM decides alone, from the
 // same configuration.
@@ -30,7 +32,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ryehill/ryehill/coordination/steer"
 	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
 )
 
@@ -68,6 +72,8 @@
 	WarmAt map[string]time.Time
 	// Regions are all regions of the fleet, in order of their names.
 	Regions []string
+	// Traffic holds the operators' moves and caps. Nil is none.
+	Traffic *view.View
 }
 
 // Request is what a placement rests on.
@@ -87,12 +93,15 @@
 	worker     worker.Worker
 	load       *worker.Load
 	remote     bool
+	steered    string
+	moved      bool
 	considered []Considered
 }
 
 // Considered is a worker that was looked at, and why it was or was not taken.
 type Considered struct {
 	ID     string
+	Hall   string
 	Region string
 	// Busy is how many requests it was thought to hold, Room below how many it
 	// would have been taken. Both are 0 for a cold worker.
@@ -118,16 +127,26 @@
 // was taken.
 func (c Choice) Considered() []Considered { return c.considered }
 
+// Steered says why the request runs elsewhere than at home, or why a cap keeps
+// it there; it is empty for one that nothing steered.
+func (c Choice) Steered() string { return c.steered }
+
+// Moved reports whether a move or the balance between regions took the request
+// away from the hall that would hold its key at home.
+func (c Choice) Moved() bool { return c.moved }
+
 // Remote reports whether the worker is in another region.
 func (c Choice) Remote() bool { return c.remote }
 
 // Config sets up a Placer. All fields are required.
 type Config struct {
-	// Region is that of this VM.
-	Region string
-	Loads  *worker.Loads
-	Cold   *Cold
-	Now    func() time.Time
+	// Hall and Region are those of this VM.
+	Hall, Region string
+	Loads        *worker.Loads
+	Cold         *Cold
+	// Steerer counts requests against the operators' moves and caps.
+	Steerer *steer.Steerer
+	Now     func() time.Time
 }
 
 // Placer chooses workers. It is safe for concurrent use.
@@ -146,18 +165,17 @@
 	if len(eligible) == 0 {
 		return Choice{}, RefusalNoWorker
 	}
-	region := shareOut(p.cfg.Region, s.Regions, eligible, r)
-	choice, refusal := p.choose(s, r, eligible, region)
+	choice, refusal := p.chooseAt(s, r, eligible, p.destination(s, r, eligible))
 	if refusal != RefusalCold {
 		return choice, refusal
 	}
-	// Its own region is cold, say after a closed hall opened again: those
-	// that have held its keys meanwhile are warm.
+	// Its own region is cold, say after a closed hall opened again: those that
+	// have held its keys meanwhile are warm.
 	warm := slices.DeleteFunc(eligible, func(w worker.Worker) bool { return p.cold(s, w) })
 	if len(warm) == 0 {
 		return choice, RefusalCold
 	}
-	return p.choose(s, r, warm, shareOut(p.cfg.Region, s.Regions, warm, r))
+	return p.chooseAt(s, r, warm, p.placed(shareOut(p.cfg.Region, s.Regions, warm, r)))
 }
 
 // cold reports whether a worker is taken as cold.
@@ -214,7 +232,7 @@
 	refusal, held := RefusalNoWorker, 0
 	var considered []Considered
 	for _, c := range ranked(workers, region, r.Key) {
-		seen := Considered{ID: c.worker.ID, Region: region, Cold: p.cold(s, c.worker)}
+		seen := Considered{ID: c.worker.ID, Hall: c.worker.Hall, Region: region, Cold: p.cold(s, c.worker)}
 		if seen.Cold {
 			considered = append(considered, seen)
 			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
--- a/coordination/placement/share.go
+++ b/coordination/placement/share.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,18 +12,41 @@
 	"github.com/ryehill/ryehill/state/worker"
 )
 
+// slotsByRegion sums the slots of workers by region.
+func slotsByRegion(workers []worker.Worker, regions int) (slots map[string]float64, total float64) {
+	slots = make(map[string]float64, regions)
+	for _, w := range workers {
+		slots[w.Region] += float64(w.Slots)
+		total += float64(w.Slots)
+	}
+	return slots, total
+}
+
+// shared is where a key belongs by the balance between regions.
+type shared struct {
+	region string
+	// at is the key's place from 0 to 1; a region keeps its keys below kept.
+	at, kept float64
+	// home and total are slots.
+	home, total float64
+}
+
+// reason says why a key does not belong to its own region, or "" if it does.
+func (s shared) reason(home string) string {
+	if s.region == home {
+		return ""
+	}
+	return fmt.Sprintf("balance: %s has %.0f of %.0f slots and keeps %.0f%% of its keys; this one goes to %s",
+		home, s.home, s.total, 100*s.kept, s.region)
+}
+
 // shareOut returns the region whose workers hold the key for requests that come
 // to a region. Every region is taken to bring an equal part of the requests;
 // one that has fewer slots than that gives the rest of its keys to those that
 // have more, in proportion to what they have beyond their own part. The choice
 // depends on the key and the workers alone, so it moves only when these do.
-func shareOut(home string, regions []string, workers []worker.Worker, r Request) string {
-	slots := make(map[string]float64, len(regions))
-	total := 0.0
-	for _, w := range workers {
-		slots[w.Region] += float64(w.Slots)
-		total += float64(w.Slots)
-	}
+func shareOut(home string, regions []string, workers []worker.Worker, r Request) shared {
+	slots, total := slotsByRegion(workers, len(regions))
 	sources := 0
 	for _, region := range regions {
 		if r.Allows == nil || r.Allows(region) || region == home {
@@ -31,12 +55,13 @@
 	}
 	fair := total / float64(max(sources, 1))
 	hash := mix(r.Key ^ xxhash.Sum64String(r.Service))
-	if point(hash) < min(1, slots[home]/fair) {
-		return home
+	s := shared{region: home, at: point(hash), kept: min(1, slots[home]/fair), home: slots[home], total: total}
+	if s.at >= s.kept {
+		// A hash of its own: a change of what is kept moves none of the keys
+		// that were given before.
+		s.region = surplusRegion(home, regions, slots, fair, point(mix(hash+1)))
 	}
-	// A hash of its own: a change of what is kept moves none of the keys that
-	// were given before.
-	return surplusRegion(home, regions, slots, fair, point(mix(hash+1)))
+	return s
 }
 
 // point maps a hash to a number from 0 to 1.
--- a/coordination/steer/steer.go
+++ b/coordination/steer/steer.go
@@ -87,11 +87,12 @@
 
 // Candidate is the move that a request may take.
 type Candidate struct {
-	rule     Rule
-	move     *spec.Move
-	target   string
-	accounts []*quota.Account
-	// margin is set for a client beyond the share, who is moved only on
+	rule    Rule
+	move    *spec.Move
+	target  string
+	account *quota.Account // of the move
+	caps    []*quota.Account
+	// margin is set for a subject beyond the share, who is moved only on
 	// credit that would be wasted.
 	margin bool
 }
@@ -99,22 +100,35 @@
 // Rule returns RuleMove if the request may move, else what keeps it here.
 func (c Candidate) Rule() Rule { return c.rule }
 
+// Limit returns the least of the caps that bind, or share.Whole without one.
+func (c Candidate) Limit() share.PPM {
+	least := share.Whole
+	for _, a := range c.caps {
+		least = min(least, a.Limit())
+	}
+	return least
+}
+
 // Move returns the move whose share holds the client, or nil.
 func (c Candidate) Move() *spec.Move { return c.move }
 
 // Target returns the receiving hall, or "" without a move.
 func (c Candidate) Target() string { return c.target }
 
-// Spend pays for the move from every cap, or from none.
+// Spend pays for the move from its own share and every cap, or from none.
 func (c Candidate) Spend() bool {
 	if c.margin {
-		return quota.SpendSpare(c.accounts[0], c.accounts[1:]...)
+		return quota.SpendSpare(c.account, c.caps...)
 	}
-	return quota.Spend(c.accounts...)
+	return quota.Spend(append([]*quota.Account{c.account}, c.caps...)...)
 }
 
 // Refund takes a payment back after the target refused for certain.
-func (c Candidate) Refund() { quota.Refund(c.accounts...) }
+func (c Candidate) Refund() { quota.Refund(append([]*quota.Account{c.account}, c.caps...)...) }
+
+// SpendCaps pays from every cap, or from none, for a request that leaves its
+// hall by no move, but by the balance between regions.
+func (c Candidate) SpendCaps() bool { return quota.Spend(c.caps...) }
 
 // Arrive counts a request against every move and cap that covers it and returns
 // the move that it may take, if any.
@@ -123,45 +137,44 @@
 	if !ok || home != s.cfg.Hall {
 		return Candidate{rule: RuleForeign}
 	}
-	moves := v.Moves(service, home)
-	if len(moves) == 0 {
-		return Candidate{rule: RuleHome}
-	}
-	caps := s.arriveCaps(v, service, home)
-	chosen := Candidate{rule: RuleHome}
-	for _, m := range moves {
-		a := s.account("move/"+m.ID, m.Cap)
+	return s.ArriveAt(v, service, home, share.Client(client))
+}
+
+// ArriveAt is like Arrive for a subject that belongs to a hall, whatever hall
+// this VM is in.
+func (s *Steerer) ArriveAt(v *view.View, service, hall string, subject share.Subject) Candidate {
+	chosen := Candidate{rule: RuleHome, caps: s.arriveCaps(v, service, hall)}
+	for _, m := range v.Moves(service, hall) {
+		position, effective := share.Position(m.ID, subject), m.Effective()
+		a := s.account("move/"+m.ID, effective)
 		a.Arrive()
-		position, effective := share.Position(m.ID, client), m.Effective()
 		if chosen.move != nil || position >= min(marginFactor*effective, share.Whole) {
 			continue
 		}
-		chosen = Candidate{
-			rule:     RuleMove,
-			move:     m,
-			target:   target(m, client),
-			accounts: append([]*quota.Account{a}, caps...),
-			margin:   position >= effective,
-		}
+		chosen.rule, chosen.move, chosen.target = RuleMove, m, target(m, subject)
+		chosen.account, chosen.margin = a, position >= effective
 	}
 	return chosen
 }
 
-func (s *Steerer) arriveCaps(v *view.View, service, home string) []*quota.Account {
+func (s *Steerer) arriveCaps(v *view.View, service, hall string) []*quota.Account {
 	var accounts []*quota.Account
 	for i := range v.Traffic().Caps {
 		c := &v.Traffic().Caps[i]
-		if !c.Covers(service, home) {
+		if !c.Covers(service, hall) {
 			continue
 		}
-		a := s.account("cap/"+c.ID+"/"+service, c.Limit)
+		a := s.account(capKey(c.ID, service, hall), c.Limit)
 		a.Arrive()
 		accounts = append(accounts, a)
 	}
 	return accounts
 }
 
-func target(m *spec.Move, client netip.Addr) string {
+// capKey names the account of a cap: each service and hall is counted alone.
+func capKey(id, service, hall string) string { return "cap/" + id + "/" + service + "/" + hall }
+
+func target(m *spec.Move, subject share.Subject) string {
 	if len(m.Targets) == 1 {
 		return m.Targets[0].Hall
 	}
@@ -169,7 +182,7 @@
 	for i, t := range m.Targets {
 		weights[i] = t.Weight
 	}
-	return m.Targets[max(0, share.Weighted(m.ID, client, weights))].Hall
+	return m.Targets[max(0, share.Weighted(m.ID, subject, weights))].Hall
 }
 
 func (s *Steerer) account(key string, limit share.PPM) *quota.Account {
@@ -212,7 +225,9 @@
 	}
 	for _, c := range v.Traffic().Caps {
 		for _, service := range v.Services() {
-			keep["cap/"+c.ID+"/"+service] = true
+			for _, hall := range v.Fleet().Halls {
+				keep[capKey(c.ID, service, hall.Name)] = true
+			}
 		}
 	}
 	for i := range s.shards {
--- a/coordination/steer/steer_test.go
+++ b/coordination/steer/steer_test.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// A step's share is not passed, however far the cap above it is.
+func TestShareIsNotPassedBelowItsCap(t *testing.T) {
+	const n = 10_000
+	moved := run(newView(t, spec.Traffic{Moves: []spec.Move{move("m", 50_000, 400_000)}}), n)["m"]
+	if moved > n/20 || moved < n/20-n/50 {
+		t.Fatalf("moved %d of %d with a share of 5%% and a cap of 40%%", moved, n)
+	}
+}
+
 func TestCommonCapBindsTwoMoves(t *testing.T) {
 	const n = 10_000
 	moved := run(newView(t, spec.Traffic{
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -10,6 +10,8 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
 )
 
@@ -24,6 +26,9 @@
 	workers        map[string]worker.Worker
 	closed         map[string]bool
 	warmAt         map[string]time.Time
+	// traffic holds the operators' moves and caps, of a version.
+	traffic        *view.View
+	trafficVersion uint64
 }
 
 // compileLoop makes a new snapshot whenever the replica has changed.
@@ -61,9 +66,10 @@
 		return
 	}
 	g.compileClosed(c, now)
+	g.compileTraffic(c)
 	s := &placement.Snapshot{
 		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed),
-		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(),
+		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(), Traffic: c.traffic,
 	}
 	g.snapshot.Store(s)
 	g.loads.Keep(func(id string) bool { _, ok := s.Workers.Get(id); return ok })
@@ -111,6 +117,23 @@
 	c.closed = closed
 }
 
+// compileTraffic takes in the operators' moves and caps. An object that cannot be
+// read changes nothing.
+func (g *Gateway) compileTraffic(c *compiler) {
+	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
+		if o.Name != spec.MainName || o.Revision <= c.trafficVersion {
+			continue
+		}
+		t, _, err := decodeTraffic(o)
+		if err != nil {
+			g.log.Error(err, "traffic: not taken", "revision", o.Revision)
+			continue
+		}
+		c.traffic, c.trafficVersion = view.Empty().WithTraffic(&t), o.Revision
+		g.log.Info("traffic: in force", "revision", o.Revision, "edit", t.Edit, "moves", len(t.Moves), "caps", len(t.Caps))
+	}
+}
+
 func (g *Gateway) compileWorkers(c *compiler, now time.Time) *worker.Set {
 	objects := g.replica.Objects(g.cfg.Codec.WorkerKind())
 	next := make(map[string]worker.Worker, len(objects))
@@ -130,6 +153,9 @@
 			}
 		}
 		next[o.Name] = w
+		if c.traffic != nil && c.traffic.Leaving(w.ID) {
+			w.Leaving = true // An operator drains it.
+		}
 		list = append(list, w)
 	}
 	kept := lapsed(c.workers, next, now, g.away.graceEnd())
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -30,6 +30,14 @@
 // gone.
 var ErrForgotten = errors.New("gateway: the store has forgotten that history")
 
+// Errors of a Store's calls on single objects.
+var (
+	// ErrMissing reports an object that is not there.
+	ErrMissing = errors.New("gateway: the store has no such object")
+	// ErrConflict reports a condition that did not hold; nothing was written.
+	ErrConflict = errors.New("gateway: the object has changed")
+)
+
 // Store is the platform's store of objects.
 type Store interface {
 	// List returns all objects of a kind and a revision up to which they are
@@ -40,6 +48,14 @@
 	Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error)
 	// Put makes or replaces an object.
 	Put(ctx context.Context, kind, name string, spec []byte) error
+	// Get returns an object, or ErrMissing.
+	Get(ctx context.Context, kind, name string) (object.Object, error)
+	// Replace writes an object that still has a revision, 0 standing for one
+	// that must not be there, and returns the new revision, or ErrConflict.
+	// After any other error it is not known whether it was, or will be, done.
+	Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error)
+	// Delete removes an object, if it is there.
+	Delete(ctx context.Context, kind, name string) error
 }
 
 // Codec reads the store's objects.
@@ -48,6 +64,9 @@
 	WorkerKind() string
 	ClosedKind() string
 	MemberKind() string
+	// TrafficKind holds the operators' moves and caps, PlanKind their plans.
+	TrafficKind() string
+	PlanKind() string
 	Routes(o object.Object) (route.Config, error)
 	// Worker returns a worker and for how long it is still cold.
 	Worker(o object.Object) (worker.Worker, time.Duration, error)
--- /dev/null
+++ b/internal/gateway/control.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/assign"
+	"github.com/ryehill/ryehill/coordination/traffic"
+)
+
+// controlInterval is the time between two looks at the moves under way.
+const controlInterval = time.Second
+
+// controlLoop steps the operators' moves, while this VM is the controller. Two
+// VMs that both take themselves for it do each other no harm: a step is a write
+// on the condition that nobody else has changed the traffic object. So there is
+// no lease here, and an idle fleet costs the store nothing.
+func (g *Gateway) controlLoop(ctx context.Context) {
+	for number := 1; ctx.Err() == nil; number++ {
+		sleep(ctx, controlInterval)
+		if !g.Ready() || !traffic.Busy(g.traffic()) || !g.controls() {
+			continue
+		}
+		g.step(ctx, "step-"+g.cfg.VM+"-"+strconv.FormatUint(g.self.Start, 36)+"-"+strconv.Itoa(number))
+	}
+}
+
+// controls reports whether this VM is the controller among the live ones.
+func (g *Gateway) controls() bool {
+	var ids []string
+	for _, m := range g.live() {
+		ids = append(ids, m.ID)
+	}
+	top := assign.Top("controller", ids, 1)
+	return len(top) > 0 && top[0] == g.cfg.VM
+}
+
+func (g *Gateway) step(ctx context.Context, operation string) {
+	written, actions, err := traffic.Step(ctx, traffic.StepConfig{
+		Store: trafficStore{g}, Fleet: g.view(g.traffic()).Fleet(), Now: time.Now,
+		Operation: func() string { return operation }, Holds: g.controls,
+	})
+	if err != nil {
+		g.log.Info("controller: no step", "error", err.Error())
+		return
+	}
+	if len(actions) == 0 {
+		return
+	}
+	g.trafficChanged(written)
+	for _, a := range actions {
+		g.cfg.Metrics.Stepped(string(a.Rule))
+		g.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason, "version", written.Version)
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -29,6 +29,8 @@
 	kindWorkers = "workers"
 	kindClosed  = "closed"
 	kindMembers = "members"
+	kindTraffic = "traffic"
+	kindPlans   = "plans"
 )
 
 var errAway = errors.New("the store is away")
@@ -95,6 +97,69 @@
 	shut   bool
 	silent bool
 	calls  map[string]int
+	// lose breaks off so many answers to Replace, before or after the write.
+	lose   int
+	before bool
+}
+
+// loseWrites loses the answers to the next writes under a condition.
+func (d *door) loseWrites(n int, before bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lose, d.before = n, before
+}
+
+// loses reports whether this answer is lost, and whether before the write.
+func (d *door) loses() (lost, before bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lose == 0 {
+		return false, false
+	}
+	d.lose--
+	return true, d.before
+}
+
+func (d *door) Get(ctx context.Context, kind, name string) (object.Object, error) {
+	if err := d.pass(ctx, "get "+kind, time.Second); err != nil {
+		return object.Object{}, err
+	}
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	o, ok := d.store.kinds[kind][name]
+	if !ok {
+		return o, gateway.ErrMissing
+	}
+	return o, nil
+}
+
+func (d *door) Replace(ctx context.Context, kind, name string, revision uint64, raw []byte) (uint64, error) {
+	if err := d.pass(ctx, "replace "+kind, time.Second); err != nil {
+		return 0, err
+	}
+	lost, before := d.loses()
+	if lost && before {
+		return 0, errAway
+	}
+	d.store.mu.Lock()
+	held := d.store.kinds[kind][name].Revision
+	d.store.mu.Unlock()
+	if held != revision {
+		return 0, gateway.ErrConflict
+	}
+	d.store.put(kind, name, json.RawMessage(raw))
+	if lost {
+		return 0, errAway
+	}
+	return d.store.get(kind, name).Revision, nil
+}
+
+func (d *door) Delete(ctx context.Context, kind, name string) error {
+	if err := d.pass(ctx, "delete "+kind, time.Second); err != nil {
+		return err
+	}
+	d.store.remove(kind, name)
+	return nil
 }
 
 func (d *door) set(shut, silent bool) {
@@ -181,10 +246,12 @@
 // codec stores the product's own types as JSON.
 type codec struct{}
 
-func (codec) ConfigKind() string { return kindConfig }
-func (codec) WorkerKind() string { return kindWorkers }
-func (codec) ClosedKind() string { return kindClosed }
-func (codec) MemberKind() string { return kindMembers }
+func (codec) ConfigKind() string  { return kindConfig }
+func (codec) WorkerKind() string  { return kindWorkers }
+func (codec) ClosedKind() string  { return kindClosed }
+func (codec) MemberKind() string  { return kindMembers }
+func (codec) TrafficKind() string { return kindTraffic }
+func (codec) PlanKind() string    { return kindPlans }
 
 func (codec) Routes(o object.Object) (route.Config, error) {
 	var cfg route.Config
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	"github.com/ryehill/ryehill/coordination/membership"
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/coordination/steer"
+	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/share"
 	"github.com/ryehill/ryehill/state/spec"
@@ -79,6 +82,7 @@
 	replica   *object.Replica
 	members   *membership.Table
 	loads     *worker.Loads
+	meters    *load.HallMeters
 	upstreams *upstream.Client
 	peers     *peer.Manager
 	ingress   *ingress.Handler
@@ -108,6 +112,7 @@
 		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
 		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
+		meters:   load.NewHallMeters(time.Now),
 		failed:   make(chan error, 1), watchers: newWatchers(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
@@ -125,7 +130,10 @@
 	cold := placement.NewCold(placement.ColdConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: time.Now})
 	g.ingress = ingress.New(ingress.Config{
 		Snapshot: g.snapshot.Load, Upstreams: g.upstreams, Dialect: cfg.Dialect, Metrics: cfg.Metrics, Log: g.log,
-		Placer: placement.New(placement.Config{Region: g.region(), Loads: g.loads, Cold: cold, Now: time.Now}),
+		Placer: placement.New(placement.Config{
+			Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: time.Now,
+		}),
+		Meters: g.meters,
 		VMs:    func() int { return len(g.members.All()) + 1 },
 		VM:     cfg.VM, Decisions: g.decisions, Age: g.age,
 		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
@@ -155,13 +163,47 @@
 	return regions
 }
 
-// operatorHandler serves metrics and, with a token, explanations.
+// operatorHandler serves metrics and, with a token, intents, status and
+// explanations.
 func (g *Gateway) operatorHandler() http.Handler {
-	return operator.NewReader(operator.ReaderConfig{
-		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, VM: g.cfg.VM, Find: g.decisions.Find,
+	return operator.NewGateway(operator.GatewayConfig{
+		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, Find: g.decisions.Find,
+		Status: g.status, Traffic: g.traffic,
+		Intents: operator.IntentsConfig{
+			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.view, Changed: g.trafficChanged,
+		},
 	})
 }
 
+// status returns what this VM knows of the fleet.
+func (g *Gateway) status(ctx context.Context) operator.Status {
+	s := operator.Status{
+		VM: g.cfg.VM, Hall: g.cfg.Hall, Generation: g.trafficVersion(), Platform: "up",
+		Members: []operator.MemberStatus{operator.Member(g.members.Self())},
+	}
+	if age := g.age(); age > g.cfg.StaleAfter+awayMargin {
+		s.Platform = "away: not heard of for " + age.Round(time.Millisecond).String()
+	}
+	for _, m := range g.members.All() {
+		s.Members = append(s.Members, operator.Member(m))
+	}
+	for _, h := range g.hallStatuses(ctx) {
+		s.Halls = append(s.Halls, h)
+	}
+	slices.SortFunc(s.Halls, func(a, b load.HallStatus) int { return strings.Compare(a.Hall, b.Hall) })
+	t := g.traffic()
+	s.Moves, s.Caps, s.Leaving = t.Moves, t.Caps, t.Leaving
+	return s
+}
+
+// traffic returns the operators' moves and caps in force.
+func (g *Gateway) traffic() *spec.Traffic {
+	if s := g.snapshot.Load(); s != nil && s.Traffic != nil {
+		return s.Traffic.Traffic()
+	}
+	return &spec.Traffic{}
+}
+
 // age returns how old the oldest knowledge is that requests rest on.
 func (g *Gateway) age() time.Duration {
 	oldest := time.Duration(0)
@@ -242,7 +284,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop}
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
 			g.waitForPeers(ctx, kind)
@@ -272,7 +314,13 @@
 
 // replicatedKinds are the kinds that VMs tell each other of.
 func (g *Gateway) replicatedKinds() []string {
-	return append(g.watchedKinds(), g.cfg.Codec.MemberKind())
+	return append(g.watchedKinds(), g.listedKinds()...)
+}
+
+// listedKinds are the kinds that are read now and then; peers tell each other of
+// their changes.
+func (g *Gateway) listedKinds() []string {
+	return []string{g.cfg.Codec.MemberKind(), g.cfg.Codec.TrafficKind()}
 }
 
 // watchedKinds are the kinds whose changes must be in force soon.
--- /dev/null
+++ b/internal/gateway/halls.go
@@ -0,0 +1,165 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/state/view"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+// reportsAtOnce bounds the VMs that are asked for a report at a time.
+const reportsAtOnce = 32
+
+// trafficVersion returns the version of the operators' traffic object that is in
+// force here.
+func (g *Gateway) trafficVersion() uint64 {
+	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
+		if o.Name == spec.MainName {
+			return o.Revision
+		}
+	}
+	return 0
+}
+
+// hallStatuses asks every live VM for what it sends to each hall and sums it. A
+// VM that does not answer counts as missing in every hall, since nobody knows
+// what it sends.
+func (g *Gateway) hallStatuses(ctx context.Context) map[string]load.HallStatus {
+	at := time.Now() // The sums are as old as their oldest part.
+	reports, missing := g.collect(ctx)
+	halls := make(map[string]load.HallStatus, len(g.cfg.Halls))
+	for hall := range g.cfg.Halls {
+		sum := load.HallStatus{Hall: hall, Missing: missing}
+		for _, report := range reports {
+			sum.Join(report.Of(hall, at))
+		}
+		halls[hall] = sum
+	}
+	if s := g.snapshot.Load(); s != nil {
+		g.fillSlots(s, halls)
+	}
+	return halls
+}
+
+// collect asks every live VM for its report, and counts those that do not
+// answer.
+func (g *Gateway) collect(ctx context.Context) (reports []load.Report, missing int) {
+	reports = []load.Report{g.meters.Report(g.trafficVersion())}
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	places := make(chan struct{}, reportsAtOnce)
+	for _, m := range g.live() {
+		if m.ID == g.cfg.VM {
+			continue
+		}
+		places <- struct{}{}
+		asked.Go(func() {
+			defer func() { <-places }()
+			report, err := g.askReport(ctx, m)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				missing++
+				return
+			}
+			reports = append(reports, report)
+		})
+	}
+	asked.Wait()
+	return reports, missing
+}
+
+func (g *Gateway) askReport(ctx context.Context, m membership.Member) (load.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply, err := g.peers.Call(ctx, peer.Target{VM: m.ID, Address: m.Peer}, &peerpb.Envelope{Kind: &peerpb.Envelope_Report{Report: &peerpb.Report{}}})
+	g.cfg.Metrics.PeerCall("report", err)
+	if err != nil {
+		return load.Report{}, err
+	}
+	var report load.Report
+	return report, json.Unmarshal(reply.GetReported().GetStatus(), &report)
+}
+
+// reported answers a VM that asks for a report.
+func (g *Gateway) reported() *peerpb.Reported {
+	status, err := json.Marshal(g.meters.Report(g.trafficVersion()))
+	if err != nil {
+		g.log.Error(err, "halls: report")
+	}
+	return &peerpb.Reported{Status: status}
+}
+
+// fillSlots adds the slots of workers. Those of workers that are cold, paused
+// after failures, leaving or in a closed hall are not usable.
+func (g *Gateway) fillSlots(s *placement.Snapshot, halls map[string]load.HallStatus) {
+	now := time.Now()
+	for _, w := range s.Workers.All() {
+		h, ok := halls[w.Hall]
+		if !ok {
+			continue
+		}
+		sum := h.Services[w.Service]
+		sum.Slots += w.Slots
+		idle := w.Leaving || s.Closed[w.Hall] || now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
+		if !idle && !g.loads.Of(w.ID).Paused() {
+			sum.Usable += w.Slots
+		}
+		if h.Services == nil {
+			h.Services = make(map[string]load.ServiceStatus)
+			halls[w.Hall] = h
+		}
+		h.Services[w.Service] = sum
+	}
+	for _, h := range halls {
+		for name, sum := range h.Services {
+			sum.Free = max(0, sum.Usable-sum.InUse)
+			h.Services[name] = sum
+		}
+	}
+}
+
+// view returns the fleet and its services with a traffic object, as plans need
+// them.
+func (g *Gateway) view(t *spec.Traffic) *view.View {
+	fleet := spec.Fleet{LookupTTL: spec.Duration(min(directoryTTL, g.cfg.Bounds.MaxTTL))}
+	for hall, region := range g.cfg.Halls {
+		fleet.Halls = append(fleet.Halls, spec.Hall{Name: hall, Region: region})
+	}
+	objects := []spec.Object{spec.Encode(spec.Key{Kind: spec.KindFleet, Name: spec.MainName}, &fleet)}
+	if s := g.snapshot.Load(); s != nil {
+		objects = append(objects, serviceObjects(s)...)
+	}
+	v, err := view.Compile(t.Edit, objects, nil)
+	if err != nil {
+		g.log.Info("halls: some services cannot be planned for", "error", err.Error())
+	}
+	return v.WithTraffic(t)
+}
+
+// serviceObjects returns the services and their workers as configuration.
+func serviceObjects(s *placement.Snapshot) []spec.Object {
+	services := make(map[string]*spec.Service)
+	for _, w := range s.Workers.All() {
+		if services[w.Service] == nil {
+			services[w.Service] = &spec.Service{Name: w.Service}
+		}
+		services[w.Service].Workers = append(services[w.Service].Workers, spec.Worker{ID: w.ID, Hall: w.Hall, Address: w.Address, Slots: w.Slots})
+	}
+	objects := make([]spec.Object, 0, len(services))
+	for name, service := range services {
+		objects = append(objects, spec.Encode(spec.Key{Kind: spec.KindService, Name: name}, service))
+	}
+	return objects
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -146,6 +146,8 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: g.probeMessage(from.VM)}}
 	case *peerpb.Envelope_Sync:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: g.tell(ctx, k.Sync)}}
+	case *peerpb.Envelope_Report:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Reported{Reported: g.reported()}}
 	default:
 		g.log.Info("peer: a stream cannot begin with this message", "peer", from.VM, "message", errors.Newf("%T", k).Error())
 		return
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -17,12 +17,12 @@
 	// firstRetry and longestRetry bound the wait after a failed call.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 600 * time.Millisecond
-	// memberInterval is how often a watcher reads the list of VMs, as a stale
-	// one.
-	memberInterval = 10 * time.Second
-	// firstMembers is when it is read for the second time: by then the VMs
-	// that started together are in it.
-	firstMembers = time.Second
+	// listInterval is how often a watcher reads a kind that is not watched, as
+	// a stale list.
+	listInterval = 10 * time.Second
+	// firstList is when it is read for the second time: by then the VMs that
+	// started together are in the list of VMs.
+	firstList = time.Second
 	// gather is how long a watcher waits after news before it watches again,
 	// so that changes which come close together cost one call.
 	gather = 100 * time.Millisecond
@@ -131,32 +131,38 @@
 	return longest/2 + rand.N(longest/2)
 }
 
-// memberLoop writes this VM's own entry once, and reads those of the others
-// while it watches for them.
+// memberLoop writes this VM's own entry once.
 func (g *Gateway) memberLoop(ctx context.Context) {
-	kind := g.cfg.Codec.MemberKind()
 	entry, err := g.cfg.Codec.EncodeMember(g.vm())
 	if err != nil {
 		g.log.Error(err, "members: own entry")
 		return
 	}
 	for failures := 1; ctx.Err() == nil; failures++ {
-		if err := g.cfg.Store.Put(ctx, kind, g.cfg.VM, entry); err == nil {
+		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.MemberKind(), g.cfg.VM, entry); err == nil {
 			break
 		}
 		sleep(ctx, backoff(failures))
 	}
+	for _, kind := range g.listedKinds() {
+		go g.listLoop(ctx, kind)
+	}
+}
+
+// listLoop reads a kind now and then, while this VM watches for others or does
+// not know it at all.
+func (g *Gateway) listLoop(ctx context.Context, kind string) {
 	g.waitForPeers(ctx, kind)
-	wait := firstMembers
+	wait := firstList
 	for ctx.Err() == nil {
 		if _, known := g.replica.At(kind); known && !g.watches() {
-			sleep(ctx, firstMembers)
+			sleep(ctx, firstList)
 			continue
 		}
-		if objects, at, err := g.cfg.Store.List(ctx, kind, wait == memberInterval); err == nil {
+		if objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval); err == nil {
 			g.replica.Reset(kind, objects, at)
 			sleep(ctx, wait)
-			wait = memberInterval
+			wait = listInterval
 			continue
 		}
 		sleep(ctx, longestRetry)
--- a/internal/program/gateway.go
+++ b/internal/program/gateway.go
@@ -66,8 +66,30 @@
 // Watch implements gateway.Store.
 func (s storeAdapter) Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error) {
 	events, at, err := s.Store.Watch(ctx, kind, since, hold)
-	if errors.Is(err, platform.ErrForgotten) {
-		err = errors.Mark(err, gateway.ErrForgotten)
+	return events, at, meant(err)
+}
+
+// Get implements gateway.Store.
+func (s storeAdapter) Get(ctx context.Context, kind, name string) (object.Object, error) {
+	o, err := s.Store.Get(ctx, kind, name)
+	return o, meant(err)
+}
+
+// Replace implements gateway.Store.
+func (s storeAdapter) Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error) {
+	written, err := s.Store.Replace(ctx, kind, name, revision, spec)
+	return written, meant(err)
+}
+
+// meant marks an error of the platform with what it means to a gateway.
+func meant(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrForgotten):
+		return errors.Mark(err, gateway.ErrForgotten)
+	case errors.Is(err, platform.ErrMissing):
+		return errors.Mark(err, gateway.ErrMissing)
+	case errors.Is(err, platform.ErrExists):
+		return errors.Mark(err, gateway.ErrConflict)
 	}
-	return events, at, err
+	return err
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,7 +26,7 @@
 		text("directory", "IP:port for clients that ask where to go"),
 		text("peer", "IP:port for other VMs"),
 		text("metrics", "IP:port for operators: metrics and explanations"),
-		text("token", "bearer token that operators must show to have requests explained; without one they cannot"),
+		text("token", "bearer token that operators must show; without one there are no intents, status and explanations"),
 		text("platform", "IP:port of the platform's store"),
 		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
 		&cli.BoolFlag{Name: "first-start", Usage: "the whole fleet starts for the first time", Sources: env("first-start")},
--- /dev/null
+++ b/state/load/halls_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/state/load"
+)
+
+func TestHallMeters(t *testing.T) {
+	Convey("Two VMs that send to two halls", t, func() {
+		clock := clockwork.NewFakeClock()
+		one, two := load.NewHallMeters(clock.Now), load.NewHallMeters(clock.Now)
+		one.Of("a").Begin("s")
+		clock.Advance(time.Second)
+		two.Of("a").Begin("s")
+		two.Of("a").Begin("s")
+		two.Of("b").Begin("s")
+		two.Of("b").End("s", load.Event{Refused: true})
+		first, second := one.Report(7), two.Report(5)
+		halls := make(map[string]load.HallStatus)
+		for _, hall := range []string{"a", "b", "c"} {
+			sum := load.HallStatus{Hall: hall}
+			sum.Join(first.Of(hall, clock.Now()))
+			sum.Join(second.Of(hall, clock.Now()))
+			halls[hall] = sum
+		}
+		Convey("are summed by hall", func() {
+			So(halls["a"].VMs, ShouldEqual, 2)
+			So(halls["a"].Services["s"].InUse, ShouldEqual, 3)
+			So(halls["b"].Services["s"].InUse, ShouldEqual, 0)
+			So(halls["b"].Services["s"].Refused, ShouldBeGreaterThan, 0)
+		})
+		Convey("and each sum has the lowest generation, also of a hall that gets nothing", func() {
+			So(halls["a"].Generation, ShouldEqual, 5)
+			So(halls["c"].Generation, ShouldEqual, 5)
+			So(halls["c"].VMs, ShouldEqual, 2)
+		})
+		Convey("and the oldest part's time", func() {
+			sum := load.HallStatus{}
+			sum.Join(first.Of("a", clock.Now()))
+			sum.Join(second.Of("a", clock.Now().Add(-time.Minute)))
+			So(sum.At, ShouldEqual, clock.Now().Add(-time.Minute).UnixMilli())
+		})
+	})
+}
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -16,6 +16,8 @@
 package load
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -211,6 +213,20 @@
 	return c
 }
 
+// InFlight returns how many requests of a service have begun and not ended.
+func (m *Meter) InFlight(service string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.of(service).inFlight
+}
+
+// Services returns the names of the services that were counted, in no order.
+func (m *Meter) Services() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.by))
+}
+
 // Fill sets the rates of a service in a status. Busy is the number of the
 // service's requests, brought by this VM's callers, that were in flight on
 // average, wherever they ran.
--- a/state/share/share.go
+++ b/state/share/share.go
@@ -14,6 +14,7 @@
 package share
 
 import (
+	"encoding/binary"
 	"math/bits"
 	"net/netip"
 	"strconv"
@@ -88,19 +89,32 @@
 	return quotient
 }
 
-// Position places a client of a service on a scale from 0 to 999,999.
+// Subject is what a share holds or does not hold: a client or a key.
+type Subject [16]byte
+
+// Client returns the subject that stands for a client's address.
+func Client(address netip.Addr) Subject { return address.As16() }
+
+// Key returns the subject that stands for the hash of a key.
+func Key(hash uint64) Subject {
+	var s Subject
+	binary.LittleEndian.PutUint64(s[:], hash)
+	return s
+}
+
+// Position places a subject of a move or service on a scale from 0 to 999,999.
 //
-// A client belongs to a share exactly if its position lies below it. Growing a
-// share therefore only adds clients, and shrinking it only removes those added
+// A subject belongs to a share exactly if its position lies below it. Growing a
+// share therefore only adds subjects, and shrinking it only removes those added
 // last, so that caches of the receiver stay warm.
 // It does not allocate.
-func Position(service string, client netip.Addr) PPM {
-	return PPM(hash(service, client, 0) % uint64(Whole))
+func Position(name string, s Subject) PPM {
+	return PPM(hash(name, s, 0) % uint64(Whole))
 }
 
-// Weighted returns the index of the weight that a client falls to, each in
+// Weighted returns the index of the weight that a subject falls to, each in
 // proportion to its weight. It returns -1 if all weights are zero.
-func Weighted(service string, client netip.Addr, weights []uint32) int {
+func Weighted(name string, s Subject, weights []uint32) int {
 	var total uint64
 	for _, weight := range weights {
 		total += uint64(weight)
@@ -108,7 +122,7 @@
 	if total == 0 {
 		return -1
 	}
-	point := hash(service, client, 1) % total
+	point := hash(name, s, 1) % total
 	for i, weight := range weights {
 		if point < uint64(weight) {
 			return i
@@ -118,14 +132,13 @@
 	return -1
 }
 
-func hash(service string, client netip.Addr, salt byte) uint64 {
-	address := client.As16()
+func hash(name string, s Subject, salt byte) uint64 {
 	var buffer [17]byte
-	copy(buffer[:], address[:])
+	copy(buffer[:], s[:])
 	buffer[16] = salt
 	// The two sums are mixed, since xxhash over one joined buffer would need
-	// an allocation for the service's name.
-	mixed := xxhash.Sum64(buffer[:]) ^ bits.RotateLeft64(xxhash.Sum64String(service), 31)
+	// an allocation for the name.
+	mixed := xxhash.Sum64(buffer[:]) ^ bits.RotateLeft64(xxhash.Sum64String(name), 31)
 	mixed *= 0x9e3779b97f4a7c15
 	return mixed ^ mixed>>29
 }
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -67,5 +68,8 @@
 	return w, ok
 }
 
+// All returns all workers, in no order.
+func (s *Set) All() []Worker { return slices.Collect(maps.Values(s.byID)) }
+
 // Len returns how many workers there are.
 func (s *Set) Len() int { return len(s.byID) }
--- a/transport/ingress/answer.go
+++ b/transport/ingress/answer.go
@@ -77,8 +77,11 @@
 	if _, err := q.out.Write(held.Bytes()); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return nil //nolint:nilerr // The client is gone; the worker did its part.
 	}
+	q.answered = n
 	if !whole {
-		if _, err := io.Copy(q.out, a.Body()); err != nil {
+		rest, err := io.Copy(q.out, a.Body())
+		q.answered += rest
+		if err != nil {
 			return err
 		}
 	}
--- a/transport/ingress/explain.go
+++ b/transport/ingress/explain.go
@@ -65,6 +65,9 @@
 		text = string(refusal) + ": " + text
 	}
 	q.note(fmt.Sprintf("choice %d", number), text)
+	if c.Steered() != "" {
+		q.note("steered", c.Steered())
+	}
 }
 
 // noteTry notes how a try ended.
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -33,6 +33,7 @@
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/decision"
+	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -52,7 +53,8 @@
 	Load(h http.Header) (running, waiting int, ok bool)
 }
 
-// Config sets up a Handler. All fields but Retry are required.
+// Config sets up a Handler. All fields but Retry and those that say
+// what nil means are required.
 type Config struct {
 	// VM names this VM in records.
 	VM string
@@ -67,6 +69,8 @@
 	// Age returns how old the knowledge of workers and configuration is. Nil
 	// leaves it out of records.
 	Age func() time.Duration
+	// Meters sum what is sent to the workers of each hall. Nil sums for nobody.
+	Meters *load.HallMeters
 	// VMs returns how many VMs share what a worker accepts; at least 1.
 	VMs func() int
 	// Retry is the budget of each service for tries after the first.
@@ -87,6 +91,9 @@
 
 // New returns a handler.
 func New(cfg Config) *Handler {
+	if cfg.Meters == nil {
+		cfg.Meters = load.NewHallMeters(time.Now)
+	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), budgets: make(map[string]*retry.Budget)}
 }
 
@@ -168,6 +175,8 @@
 	// status.
 	headSent bool
 	status   int
+	// answered is how many bytes of the answer's body were passed on.
+	answered int64
 	record   decision.Record
 }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
@@ -40,6 +41,7 @@
 			choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
 			q.noteChoice(number, choice, refusal)
 			if refusal != placement.RefusalNone {
+				q.meterRefusal(choice)
 				q.refusePlacement(refusal, number)
 				return
 			}
@@ -71,6 +73,16 @@
 	}
 }
 
+// meterRefusal counts a request that found no room at the hall whose worker
+// holds its key.
+func (q *request) meterRefusal(c placement.Choice) {
+	if considered := c.Considered(); len(considered) > 0 {
+		meter := q.handler.cfg.Meters.Of(considered[0].Hall)
+		meter.Begin(q.service)
+		meter.End(q.service, load.Event{Refused: true})
+	}
+}
+
 func (q *request) placement() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
@@ -92,8 +104,11 @@
 func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) (*failure, *placement.Choice) {
 	w := c.Worker()
 	q.tried = append(q.tried, w.ID)
-	load := c.Load()
-	defer load.End()
+	held := c.Load()
+	defer held.End()
+	meter := q.handler.cfg.Meters.Of(w.Hall)
+	meter.Begin(w.Service)
+	defer func() { meter.End(w.Service, load.Event{Moved: c.Moved(), Bytes: max(q.body.length, 0) + q.answered}) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stopWaiting := q.grantPatience(ctx, cancel, number)
@@ -107,13 +122,13 @@
 	}
 	defer answer.Close()
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
-		load.Told(running, waiting)
+		held.Told(running, waiting)
 	}
 	if err := q.passOn(answer); err != nil {
-		load.Failed()
+		held.Failed()
 		return &failure{cause: retry.CauseBroken, err: err}, nil
 	}
-	load.Answered()
+	held.Answered()
 	return nil, nil
 }
 
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ryehill/ryehill/coordination/intent"
+	"github.com/ryehill/ryehill/coordination/membership"
 	"github.com/ryehill/ryehill/coordination/spread"
 	"github.com/ryehill/ryehill/protocol/outcome"
 	"github.com/ryehill/ryehill/state/decision"
@@ -49,17 +50,22 @@
 	State string `json:"state"`
 }
 
+// Member returns the status of a VM.
+func Member(m membership.Member) MemberStatus {
+	return MemberStatus{VM: m.ID, Hall: m.Hall, State: m.State.String()}
+}
+
 func (a *api) status(w http.ResponseWriter, r *http.Request) {
 	v := a.cfg.View()
 	self := a.cfg.Members.Self()
 	s := Status{
 		VM: a.cfg.VM, Hall: self.Hall, Generation: v.Generation(), Platform: "up", Own: a.cfg.Own(),
-		Members: []MemberStatus{{VM: self.ID, Hall: self.Hall, State: self.State.String()}},
+		Members: []MemberStatus{Member(self)},
 		Halls:   []load.HallStatus{},
 		Moves:   v.Traffic().Moves, Caps: v.Traffic().Caps, Leaving: v.Traffic().Leaving,
 	}
 	for _, m := range a.cfg.Members.All() {
-		s.Members = append(s.Members, MemberStatus{VM: m.ID, Hall: m.Hall, State: m.State.String()})
+		s.Members = append(s.Members, Member(m))
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), statusPatience)
 	defer cancel()
