outlier: VMs find failing workers together, and spare them

Cause: a worker that answers 500 counted as sound, and one VM of a grown site sends one worker a request in ten seconds, so no VM alone could tell.

Ruled out: counting by each VM alone (test: one failure of two says nothing); sparing on lateness, since each spared worker makes its keys cold elsewhere.

Change: the question for news carries the outcomes a VM saw, the answer names the workers to spare; 2 s first, twice as long each time, at most a third of a service. Each VM also judges by itself.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -184,22 +184,33 @@
 	return now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
 }
 
-// eligible returns the workers that may get the request. Paused ones are left
-// out unless nothing else is there.
+// mostSpared is the part of a service's workers that may be spared at most:
+// the others have to carry the load.
+const mostSpared = 1.0 / 3
+
+// eligible returns the workers that may get the request. Those that failed just
+// now are left out unless nothing else is there, and so are those that are
+// spared, unless these are too many.
 func (p *Placer) eligible(s *Snapshot, r Request) []worker.Worker {
 	all := s.Workers.Service(r.Service)
 	usable := make([]worker.Worker, 0, len(all))
-	var paused []worker.Worker
+	var paused, spared []worker.Worker
 	for _, w := range all {
-		switch {
-		case w.Leaving || s.Closed[w.Hall] || slices.Contains(r.Tried, w.ID):
-		case r.Allows != nil && !r.Allows(w.Region):
-		case p.cfg.Loads.Of(w.ID).Paused():
+		if w.Leaving || s.Closed[w.Hall] || slices.Contains(r.Tried, w.ID) || r.Allows != nil && !r.Allows(w.Region) {
+			continue
+		}
+		switch load := p.cfg.Loads.Of(w.ID); {
+		case load.Paused():
 			paused = append(paused, w)
+		case load.Spared():
+			spared = append(spared, w)
 		default:
 			usable = append(usable, w)
 		}
 	}
+	if float64(len(spared)) > mostSpared*float64(len(usable)+len(spared)) {
+		usable = append(usable, spared...)
+	}
 	if len(usable) == 0 {
 		return paused
 	}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -118,6 +118,39 @@
 	})
 }
 
+func TestSparedWorkers(t *testing.T) {
+	cases := map[string]struct {
+		spared int
+		want   bool // whether spared workers get requests
+	}{
+		"a third is spared": {2, false},
+		"half would be":     {3, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(map[string]int{"north": 6}, nil)
+			spared := make(map[string]bool)
+			for i := range c.spared {
+				id := fmt.Sprintf("north-%d", i)
+				f.loads.Of(id).Spare(time.Minute)
+				spared[id] = true
+			}
+			got := false
+			for key := range uint64(200) {
+				choice, refusal := f.placer.Place(f.snapshot, request(key))
+				if refusal != placement.RefusalNone {
+					t.Fatal(refusal)
+				}
+				got = got || spared[choice.Worker().ID]
+				choice.Load().End()
+			}
+			if got != c.want {
+				t.Errorf("spared workers got requests: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 func TestWhoGetsNothing(t *testing.T) {
 	cases := map[string]func(*worker.Worker){
 		"leaving":        func(w *worker.Worker) { w.Leaving = w.ID == "north-0" },
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/looplab/fsm"
 
 	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/coordination/outlier"
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/coordination/steer"
@@ -96,6 +97,7 @@
 	peerSide  net.Listener
 	pulling   sync.Mutex
 	away      absence
+	judge     *outlier.Judge
 	watchers  *watchers
 	failed    chan error
 }
@@ -112,8 +114,8 @@
 		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
 		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
-		meters:   load.NewHallMeters(time.Now),
-		failed:   make(chan error, 1), watchers: newWatchers(),
+		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
+		failed: make(chan error, 1), watchers: newWatchers(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,6 +326,43 @@
 	})
 }
 
+// VMs that each see too few failures of a worker to tell find it together.
+func TestVMsSpareAFailingWorkerTogether(t *testing.T) {
+	f, vms := threeVMs(t)
+	for i := range 5 {
+		f.worker(fmt.Sprintf("w%d", i+2), "s", "north-a")
+	}
+	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	t.Cleanup(bad.Close)
+	f.store.put(kindWorkers, "bad", worker.Worker{Service: "s", Hall: "north-a", Slots: 4, Address: strings.TrimPrefix(bad.URL, "http://")})
+	f.until("it gets requests", func() bool { status, _ := vms[0].ask("/"); return status == http.StatusInternalServerError })
+	for _, v := range vms {
+		v.failures(1, 20) // One each, which is too little for one VM alone.
+	}
+	f.until("nobody sends to it", func() bool {
+		failed := 0
+		for _, v := range vms {
+			failed += v.failures(1, 20)
+		}
+		return failed == 0
+	})
+}
+
+// failures asks until so many requests failed, at most so often, and returns how
+// many did.
+func (v *vm) failures(most, asks int) int {
+	failed := 0
+	for range asks {
+		if status, _ := v.ask("/"); status == http.StatusInternalServerError {
+			failed++
+		}
+		if failed == most {
+			break
+		}
+	}
+	return failed
+}
+
 // Entries that lapse while the store is away are believed until their workers
 // have had the time to write them again; those of workers that leave are not.
 func TestEntriesThatLapseAreBelievedForAWhile(t *testing.T) {
--- /dev/null
+++ b/internal/gateway/outliers.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+// maxOutcomes bounds the workers in one message.
+const maxOutcomes = 512
+
+// takeOutcomes judges by what this VM has seen since the last call, and returns
+// it for the region's watcher, which adds up what all VMs of the region saw.
+func (g *Gateway) takeOutcomes() map[string]worker.Outcomes {
+	outcomes := g.loads.TakeOutcomes(maxOutcomes)
+	g.judge.Add(outcomes)
+	g.spare(g.judge.Spared())
+	return outcomes
+}
+
+// spare sends nothing to workers for a while.
+func (g *Gateway) spare(workers map[string]time.Duration) {
+	for id, left := range workers {
+		load, ok := g.loads.Known(id)
+		if !ok {
+			continue
+		}
+		if !load.Spared() {
+			g.log.Info("workers: one fails too much and is spared", "worker", id, "for_ms", left.Milliseconds())
+		}
+		load.Spare(left)
+	}
+}
+
+// hearOutcomes takes in what another VM has seen.
+func (g *Gateway) hearOutcomes(told map[string]*peerpb.Outcomes) {
+	if len(told) == 0 || len(told) > maxOutcomes {
+		return
+	}
+	outcomes := make(map[string]worker.Outcomes, len(told))
+	for id, o := range told {
+		outcomes[id] = worker.Outcomes{Answered: o.GetAnswered(), Failed: o.GetFailed()}
+	}
+	g.judge.Add(outcomes)
+}
+
+func toOutcomes(outcomes map[string]worker.Outcomes) map[string]*peerpb.Outcomes {
+	out := make(map[string]*peerpb.Outcomes, len(outcomes))
+	for id, o := range outcomes {
+		out[id] = &peerpb.Outcomes{Answered: o.Answered, Failed: o.Failed}
+	}
+	return out
+}
+
+// sparedMillis returns the workers that this VM finds to fail too much.
+func (g *Gateway) sparedMillis() map[string]uint32 {
+	spared := g.judge.Spared()
+	out := make(map[string]uint32, len(spared))
+	for id, left := range spared {
+		out[id] = uint32(left.Milliseconds())
+	}
+	return out
+}
+
+// hearSpared takes in which workers the region's watcher finds to fail too much.
+func (g *Gateway) hearSpared(told map[string]uint32) {
+	spared := make(map[string]time.Duration, len(told))
+	for id, millis := range told {
+		spared[id] = time.Duration(millis) * time.Millisecond
+	}
+	g.spare(spared)
+}
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -126,6 +126,7 @@
 		m := g.watcher(now)
 		g.watchers.choose(m.ID == g.cfg.VM)
 		if m.ID == g.cfg.VM {
+			g.takeOutcomes()
 			sleep(ctx, noWatcher)
 			continue
 		}
@@ -143,15 +144,18 @@
 	ctx, cancel := context.WithTimeout(ctx, hold+askGrace)
 	defer cancel()
 	sent := time.Now()
-	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: &peerpb.Sync{
-		Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds()),
-	}}}
+	ask := &peerpb.Sync{Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds())}
+	if hold > 0 {
+		ask.Outcomes = toOutcomes(g.takeOutcomes())
+	}
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: ask}}
 	reply, err := g.peers.Call(ctx, from, message)
 	g.cfg.Metrics.PeerCall("sync", err)
 	if err != nil {
 		return err
 	}
 	answer := reply.GetSynced()
+	g.hearSpared(answer.GetSparedMillis())
 	g.noteAbsence(time.Now())
 	for _, d := range answer.GetDeltas() {
 		g.replica.Merge(fromDelta(d))
@@ -182,6 +186,7 @@
 	if ask.GetHoldMillis() > 0 {
 		g.watchers.ask(time.Now())
 	}
+	g.hearOutcomes(ask.GetOutcomes())
 	asked := time.Now()
 	hold := min(time.Duration(ask.GetHoldMillis())*time.Millisecond, askHold)
 	deadline := time.NewTimer(hold)
@@ -190,6 +195,7 @@
 		changed := g.replica.Changed()
 		if answer := g.synced(ask); hasNews(answer) || time.Since(asked) >= hold {
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
+			answer.SparedMillis = g.sparedMillis()
 			return answer
 		}
 		select {
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -55,6 +55,15 @@
 	return load
 }
 
+// Known returns the load of a worker that this VM has dealt with.
+func (l *Loads) Known(id string) (*Load, bool) {
+	s := &l.shards[xxhash.Sum64String(id)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load, ok := s.loads[id]
+	return load, ok
+}
+
 // Keep forgets the idle workers that the function does not want kept.
 func (l *Loads) Keep(wanted func(id string) bool) {
 	for i := range l.shards {
@@ -80,6 +89,8 @@
 	told     time.Time
 	failures int // in a row
 	pausedTo time.Time
+	outcomes Outcomes
+	sparedTo time.Time
 }
 
 // Begin counts a request of this VM.
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -124,6 +124,7 @@
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
 		held.Told(running, waiting)
 	}
+	held.Outcome(answer.Status() >= http.StatusInternalServerError)
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
 		return &failure{cause: retry.CauseBroken, err: err}, nil
@@ -222,6 +223,7 @@
 	case upstream.KindBroken:
 		if !left {
 			c.Load().Failed()
+			c.Load().Outcome(true)
 		}
 	case upstream.KindBody:
 	}
