platform: a soak of real gateways under faults from outside

Ruled out: a program of its own, for the platform's names stand in platform/ only, and its stand-ins are test code there.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: all build check test race lint format generate bench fuzz
+.PHONY: all build check test race lint format generate bench fuzz soak
 
 all: check test
 
@@ -40,3 +40,11 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzDecodeObject -fuzztime 20s ./state/spec
 	go test -run '^$$' -fuzz FuzzRead -fuzztime 20s ./protocol/wire
+
+# A soak of the real daemons with faults from outside them; see docs/SOAK.md.
+SEED ?= 1
+SEEDS ?= 1
+DURATION ?= 25s
+
+soak:
+	go test -count=1 -v -timeout 0 -run '^TestSoak$$' ./platform -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.duration $(DURATION)
