--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -30,8 +30,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/ryehill/ryehill/coordination/steer"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/view"
@@ -228,7 +226,7 @@
 	list := make([]candidate, 0, len(workers))
 	for _, w := range workers {
 		if w.Region == region {
-			list = append(list, candidate{worker: w, weight: mix(key ^ xxhash.Sum64String(w.ID))})
+			list = append(list, candidate{worker: w, weight: mix(key ^ w.Hash())})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -215,7 +215,7 @@
 	revision, list := d.store.Revisions()
 	p := &peerpb.Probe{Revision: revision, VmList: list}
 	for _, m := range d.members.News(to) {
-		p.News = append(p.News, toMember(m))
+		p.News = append(p.News, peer.EncodeMember(m))
 	}
 	if hall == d.cfg.Hall {
 		p.Free = d.free()
@@ -239,13 +239,7 @@
 // hear takes in a probe or the reply to one.
 func (d *Daemon) hear(from string, p *peerpb.Probe) {
 	d.heard.Store(d.now().UnixMilli())
-	news := make([]membership.Member, 0, len(p.GetNews()))
-	for _, m := range p.GetNews() {
-		if member, err := fromMember(m); err == nil {
-			news = append(news, member)
-		}
-	}
-	d.members.Heard(news)
+	d.members.Heard(peer.DecodeNews(p.GetNews()))
 	now := d.now()
 	for service, free := range p.GetFree() {
 		if _, ok := d.view.Load().Service(service); ok {
@@ -351,21 +345,3 @@
 	}
 	return known.Start, nil
 }
-
-func toMember(m membership.Member) *peerpb.Member {
-	return &peerpb.Member{
-		Vm: m.ID, Hall: m.Hall, Entry: m.Entry, Peer: m.Peer,
-		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State),
-	}
-}
-
-func fromMember(m *peerpb.Member) (membership.Member, error) {
-	state := membership.State(m.GetState())
-	if !spec.ValidName(m.GetVm()) || !spec.ValidName(m.GetHall()) || state > membership.StateGone || m.GetStart() == 0 {
-		return membership.Member{}, errors.Newf("malformed news of VM %q", m.GetVm())
-	}
-	return membership.Member{
-		VM:    spec.VM{ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive},
-		Start: m.GetStart(), Incarnation: m.GetIncarnation(), State: state,
-	}, nil
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +35,6 @@
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/worker"
 	"github.com/ryehill/ryehill/transport/ingress"
-	"github.com/ryehill/ryehill/transport/operator"
 	"github.com/ryehill/ryehill/transport/peer"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -165,47 +163,6 @@
 	return regions
 }
 
-// operatorHandler serves metrics and, with a token, intents, status and
-// explanations.
-func (g *Gateway) operatorHandler() http.Handler {
-	return operator.NewGateway(operator.GatewayConfig{
-		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, Find: g.decisions.Find,
-		Status: g.status, Traffic: g.traffic,
-		Intents: operator.IntentsConfig{
-			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.view, Changed: g.trafficChanged,
-		},
-	})
-}
-
-// status returns what this VM knows of the fleet.
-func (g *Gateway) status(ctx context.Context) operator.Status {
-	s := operator.Status{
-		VM: g.cfg.VM, Hall: g.cfg.Hall, Generation: g.trafficVersion(), Platform: "up",
-		Members: []operator.MemberStatus{operator.Member(g.members.Self())},
-	}
-	if age := g.age(); age > g.cfg.StaleAfter+awayMargin {
-		s.Platform = "away: not heard of for " + age.Round(time.Millisecond).String()
-	}
-	for _, m := range g.members.All() {
-		s.Members = append(s.Members, operator.Member(m))
-	}
-	for _, h := range g.hallStatuses(ctx) {
-		s.Halls = append(s.Halls, h)
-	}
-	slices.SortFunc(s.Halls, func(a, b load.HallStatus) int { return strings.Compare(a.Hall, b.Hall) })
-	t := g.traffic()
-	s.Moves, s.Caps, s.Leaving = t.Moves, t.Caps, t.Leaving
-	return s
-}
-
-// traffic returns the operators' moves and caps in force.
-func (g *Gateway) traffic() *spec.Traffic {
-	if s := g.snapshot.Load(); s != nil && s.Traffic != nil {
-		return s.Traffic.Traffic()
-	}
-	return &spec.Traffic{}
-}
-
 // age returns how old the oldest knowledge is that requests rest on.
 func (g *Gateway) age() time.Duration {
 	oldest := time.Duration(0)
@@ -287,6 +244,7 @@
 
 func (g *Gateway) loops() []func(context.Context) {
 	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop}
+	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
 			g.waitForPeers(ctx, kind)
--- /dev/null
+++ b/internal/gateway/operators.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/transport/operator"
+)
+
+// operatorHandler serves metrics and, with a token, intents, status and
+// explanations.
+func (g *Gateway) operatorHandler() http.Handler {
+	return operator.NewGateway(operator.GatewayConfig{
+		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, Find: g.decisions.Find,
+		Status: g.status, Traffic: g.traffic,
+		Intents: operator.IntentsConfig{
+			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.view, Changed: g.trafficChanged,
+		},
+	})
+}
+
+// status returns what this VM knows of the fleet.
+func (g *Gateway) status(ctx context.Context) operator.Status {
+	s := operator.Status{
+		VM: g.cfg.VM, Hall: g.cfg.Hall, Generation: g.trafficVersion(), Platform: "up",
+		Members: []operator.MemberStatus{operator.Member(g.members.Self())},
+	}
+	if age := g.age(); age > g.cfg.StaleAfter+awayMargin {
+		s.Platform = "away: not heard of for " + age.Round(time.Millisecond).String()
+	}
+	for _, m := range g.members.All() {
+		s.Members = append(s.Members, operator.Member(m))
+	}
+	for _, h := range g.hallStatuses(ctx) {
+		s.Halls = append(s.Halls, h)
+	}
+	slices.SortFunc(s.Halls, func(a, b load.HallStatus) int { return strings.Compare(a.Hall, b.Hall) })
+	t := g.traffic()
+	s.Moves, s.Caps, s.Leaving = t.Moves, t.Caps, t.Leaving
+	return s
+}
+
+// traffic returns the operators' moves and caps in force.
+func (g *Gateway) traffic() *spec.Traffic {
+	if s := g.snapshot.Load(); s != nil && s.Traffic != nil {
+		return s.Traffic.Traffic()
+	}
+	return &spec.Traffic{}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,7 @@
 		p.Replicas[kind] = g.replica.Content(kind)
 	}
 	for _, m := range g.members.News(to) {
-		p.News = append(p.News, toMember(m))
+		p.News = append(p.News, peer.EncodeMember(m))
 	}
 	return p
 }
@@ -82,13 +82,7 @@
 // hear takes in a probe or the reply to one, and fetches what the peer has and
 // this VM has not, unless its region's watcher is about to tell it.
 func (g *Gateway) hear(from peer.Target, p *peerpb.Probe) {
-	news := make([]membership.Member, 0, len(p.GetNews()))
-	for _, m := range p.GetNews() {
-		if member, err := fromMember(m); err == nil {
-			news = append(news, member)
-		}
-	}
-	g.members.Heard(news)
+	g.members.Heard(peer.DecodeNews(p.GetNews()))
 	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.At(kind)
 		theirs := p.GetReplicas()[kind]
@@ -192,21 +186,3 @@
 	}
 	return out
 }
-
-func toMember(m membership.Member) *peerpb.Member {
-	return &peerpb.Member{
-		Vm: m.ID, Hall: m.Hall, Entry: m.Entry, Peer: m.Peer,
-		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State),
-	}
-}
-
-func fromMember(m *peerpb.Member) (membership.Member, error) {
-	state := membership.State(m.GetState())
-	if !spec.ValidName(m.GetVm()) || !spec.ValidName(m.GetHall()) || state > membership.StateGone || m.GetStart() == 0 {
-		return membership.Member{}, errors.Newf("malformed news of VM %q", m.GetVm())
-	}
-	return membership.Member{
-		VM:    spec.VM{ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive},
-		Start: m.GetStart(), Incarnation: m.GetIncarnation(), State: state,
-	}, nil
-}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -131,7 +131,7 @@
 	return longest/2 + rand.N(longest/2)
 }
 
-// memberLoop writes this VM's own entry once.
+// memberLoop writes this VM's own entry once, then reads those of all.
 func (g *Gateway) memberLoop(ctx context.Context) {
 	entry, err := g.cfg.Codec.EncodeMember(g.vm())
 	if err != nil {
@@ -144,9 +144,7 @@
 		}
 		sleep(ctx, backoff(failures))
 	}
-	for _, kind := range g.listedKinds() {
-		go g.listLoop(ctx, kind)
-	}
+	g.listLoop(ctx, g.cfg.Codec.MemberKind())
 }
 
 // listLoop reads a kind now and then, while this VM watches for others or does
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -20,6 +20,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Worker is one start of one worker. A new start has a new id.
@@ -37,8 +39,13 @@
 	ColdUntil time.Time
 	// Revision is that of the store's entry.
 	Revision uint64
+
+	hash uint64
 }
 
+// Hash returns a hash of the id, by which keys are ranked. It is set by NewSet.
+func (w *Worker) Hash() uint64 { return w.hash }
+
 // Set holds workers by service. It is safe for concurrent use.
 type Set struct {
 	services map[string][]Worker
@@ -49,6 +56,7 @@
 func NewSet(workers []Worker) *Set {
 	s := &Set{services: make(map[string][]Worker), byID: make(map[string]Worker, len(workers))}
 	for _, w := range workers {
+		w.hash = xxhash.Sum64String(w.ID)
 		s.services[w.Service] = append(s.services[w.Service], w)
 		s.byID[w.ID] = w
 	}
--- /dev/null
+++ b/transport/peer/member.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/spec"
+)
+
+// ErrMember reports news of a VM that cannot be read.
+var ErrMember = errors.New("peer: malformed news of a VM")
+
+// EncodeMember returns the message that tells of a VM.
+func EncodeMember(m membership.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Vm: m.ID, Hall: m.Hall, Entry: m.Entry, Peer: m.Peer,
+		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State),
+	}
+}
+
+// DecodeMember reads a message that tells of a VM. It returns ErrMember for one
+// with a bad name, an unknown state or no start.
+func DecodeMember(m *peerpb.Member) (membership.Member, error) {
+	state := membership.State(m.GetState())
+	if !spec.ValidName(m.GetVm()) || !spec.ValidName(m.GetHall()) || state > membership.StateGone || m.GetStart() == 0 {
+		return membership.Member{}, errors.Wrapf(ErrMember, "VM %q", m.GetVm())
+	}
+	return membership.Member{
+		VM:    spec.VM{ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive},
+		Start: m.GetStart(), Incarnation: m.GetIncarnation(), State: state,
+	}, nil
+}
+
+// DecodeNews reads what a peer tells of VMs, and leaves out what cannot be read.
+func DecodeNews(news []*peerpb.Member) []membership.Member {
+	members := make([]membership.Member, 0, len(news))
+	for _, m := range news {
+		if member, err := DecodeMember(m); err == nil {
+			members = append(members, member)
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/transport/peer/member_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/spec"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+func TestMembersAreReadBack(t *testing.T) {
+	m := membership.Member{
+		VM:    spec.VM{ID: "a", Hall: "h", Entry: "127.0.0.1:1", Peer: "127.0.0.1:2", State: spec.VMLive},
+		Start: 7, Incarnation: 3, State: membership.StateLive,
+	}
+	got, err := peer.DecodeMember(peer.EncodeMember(m))
+	if err != nil || got != m {
+		t.Errorf("%+v, %v", got, err)
+	}
+	cases := map[string]func(*peerpb.Member){
+		"bad VM":        func(p *peerpb.Member) { p.Vm = "A B" },
+		"bad hall":      func(p *peerpb.Member) { p.Hall = "" },
+		"unknown state": func(p *peerpb.Member) { p.State = 99 },
+		"no start":      func(p *peerpb.Member) { p.Start = 0 },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			message := peer.EncodeMember(m)
+			change(message)
+			if _, err := peer.DecodeMember(message); !errors.Is(err, peer.ErrMember) {
+				t.Errorf("error %v", err)
+			}
+			if left := peer.DecodeNews([]*peerpb.Member{message, peer.EncodeMember(m)}); len(left) != 1 {
+				t.Errorf("%d of two are read", len(left))
+			}
+		})
+	}
+}
