ingress: a time that is over is no failure of the worker

Change: 504 and a deadline that passed count as answered. Silence in a row still pauses a worker, as before.

--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -66,6 +66,7 @@
 	snapshot *placement.Snapshot
 	// decisions are those of the handler.
 	decisions *ingress.Decisions
+	loads     *worker.Loads
 
 	mu   sync.Mutex
 	runs map[string][]string // by request id: the workers that got it
@@ -109,7 +110,7 @@
 }
 
 func (f *fixture) serve(t *testing.T) {
-	loads := worker.NewLoads(time.Now)
+	f.loads = worker.NewLoads(time.Now)
 	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "here", Peers: oneVM{}, Now: time.Now})
 	client := upstream.New(upstream.Config{Dialect: plain{}, DialTimeout: 300 * time.Millisecond})
 	f.decisions = ingress.NewDecisions()
@@ -119,7 +120,7 @@
 			defer f.mu.Unlock()
 			return f.snapshot
 		},
-		Placer:    placement.New(placement.Config{Region: "here", Loads: loads, Cold: cold, Now: time.Now}),
+		Placer:    placement.New(placement.Config{Region: "here", Loads: f.loads, Cold: cold, Now: time.Now}),
 		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(), Decisions: f.decisions,
 		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100},
 	})
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -124,7 +124,7 @@
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
 		held.Told(running, waiting)
 	}
-	held.Outcome(answer.Status() >= http.StatusInternalServerError)
+	held.Outcome(failing(answer.Status()))
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
 		return &failure{cause: retry.CauseBroken, err: err}, nil
@@ -223,13 +223,25 @@
 	case upstream.KindBroken:
 		if !left {
 			c.Load().Failed()
-			c.Load().Outcome(true)
+			c.Load().Outcome(!ranOut(err))
 		}
 	case upstream.KindBody:
 	}
 	return f
 }
 
+// failing reports whether a status speaks against the worker that answers with
+// it. A gateway timeout does not: the time was over, as it is at any worker while
+// there is more work than slots, and to spare one would press the others.
+func failing(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout
+}
+
+// ranOut reports whether a try ended because its time was over.
+func ranOut(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
 // stripHopByHop removes the headers that concern one connection only.
 func stripHopByHop(h http.Header) {
 	for _, value := range h.Values("Connection") {
