--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,41 +326,40 @@
 	})
 }
 
-// VMs that each see too few failures of a worker to tell find it together.
+// VMs that each see too few failures of a worker to tell find it together: each
+// sends it one request, which fails, and then none of them sends it any.
 func TestVMsSpareAFailingWorkerTogether(t *testing.T) {
 	f, vms := threeVMs(t)
-	for i := range 5 {
-		f.worker(fmt.Sprintf("w%d", i+2), "s", "north-a")
-	}
-	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }))
+	var asked atomic.Int64
+	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
 	t.Cleanup(bad.Close)
 	f.store.put(kindWorkers, "bad", worker.Worker{Service: "s", Hall: "north-a", Slots: 4, Address: strings.TrimPrefix(bad.URL, "http://")})
-	f.until("it gets requests", func() bool { status, _ := vms[0].ask("/"); return status == http.StatusInternalServerError })
+	f.store.remove(kindWorkers, "w1")
 	for _, v := range vms {
-		v.failures(1, 20) // One each, which is too little for one VM alone.
+		f.until(v.name+" sends it a request", func() bool {
+			status, _ := v.ask("/")
+			return status == http.StatusInternalServerError
+		})
 	}
-	f.until("nobody sends to it", func() bool {
-		failed := 0
-		for _, v := range vms {
-			failed += v.failures(1, 20)
-		}
-		return failed == 0
-	})
-}
-
-// failures asks until so many requests failed, at most so often, and returns how
-// many did.
-func (v *vm) failures(most, asks int) int {
-	failed := 0
-	for range asks {
-		if status, _ := v.ask("/"); status == http.StatusInternalServerError {
-			failed++
-		}
-		if failed == most {
-			break
+	before := asked.Load()
+	if before != int64(len(vms)) {
+		t.Fatalf("it got %d requests of %d VMs", before, len(vms))
+	}
+	for i := range 5 {
+		f.worker(fmt.Sprintf("good%d", i), "s", "north-a")
+	}
+	time.Sleep(1200 * time.Millisecond) // Two questions to the watcher, within the first spell.
+	for _, v := range vms {
+		for range 20 {
+			v.ask("/")
 		}
 	}
-	return failed
+	if got := asked.Load() - before; got > 0 {
+		t.Errorf("it got %d requests more", got)
+	}
 }
 
 // Entries that lapse while the store is away are believed until their workers
