worker: VMs tell each other of failures only

Cause: every question for news carried the outcomes of all workers that a VM had dealt with. At the target (400 requests a second and VM) that is about 6 KB/s, twice what control may cost.

Change: only workers that failed since the last question are told of, with the answers of some seconds before; in calm the question is as small as before.

Ruled out: reports on the hour of the second (no smaller in all); leaving the answers out (a busy worker with 0.4 % of application errors would be spared).

--- a/coordination/outlier/outlier.go
+++ b/coordination/outlier/outlier.go
@@ -6,7 +6,10 @@
 //
 // One VM sends a worker too few requests to tell soon, so VMs add up what they
 // have seen: each VM judges by its own outcomes, and the VM that watches the
-// store for a region by those of all that ask it. A worker that is found to fail
+// store for a region by those of all that ask it. A VM tells of a worker only
+// what has failed, with the answers shortly before, so what the sum says of a
+// worker's part of failures is at most too much; the least number of failures
+// guards against that. A worker that is found to fail
 // is spared for a while, and for twice as long each time it is found again soon
 // after. Between, it gets requests as any other, so that one which has recovered
 // is taken back.
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -89,7 +89,7 @@
 	told     time.Time
 	failures int // in a row
 	pausedTo time.Time
-	outcomes Outcomes
+	outcomes outcomes
 	sparedTo time.Time
 }
 
--- a/state/worker/outcomes.go
+++ b/state/worker/outcomes.go
@@ -3,21 +3,42 @@
 
 package worker
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Outcomes are the exchanges with a worker that ended since they were last
-// taken. A refusal is neither: the worker has not run it.
+// outcomeMemory is the time in which answers fade to 1/e. A failure is told with
+// the answers of about that time before it.
+const outcomeMemory = 4 * time.Second
+
+// Outcomes are the exchanges with a worker that ended lately. A refusal is
+// neither: the worker has not run it.
 type Outcomes struct{ Answered, Failed uint32 }
 
+// outcomes are those of one worker that were not taken yet.
+type outcomes struct {
+	answered float64
+	at       time.Time
+	failed   uint32
+}
+
 // Outcome counts an exchange that ended.
 func (l *Load) Outcome(failed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if failed {
-		l.outcomes.Failed++
+		l.outcomes.failed++
 		return
 	}
-	l.outcomes.Answered++
+	now := l.now()
+	l.outcomes.answered = 1 + l.outcomes.left(now)
+	l.outcomes.at = now
+}
+
+// left returns how many answers have not faded.
+func (o outcomes) left(now time.Time) float64 {
+	return o.answered * math.Exp(-now.Sub(o.at).Seconds()/outcomeMemory.Seconds())
 }
 
 // Spare gives the worker nothing for a time, unless too many of its service are
@@ -35,8 +56,9 @@
 	return l.now().Before(l.sparedTo)
 }
 
-// TakeOutcomes returns the outcomes since the last call, by the worker's id, of
-// at most so many workers; the others' are returned by the next call.
+// TakeOutcomes returns the outcomes, by the worker's id, of at most so many
+// workers that have failed since the last call; a sound worker costs nothing to
+// tell of.
 func (l *Loads) TakeOutcomes(most int) map[string]Outcomes {
 	taken := make(map[string]Outcomes)
 	for i := range l.shards {
@@ -52,16 +74,19 @@
 		if len(taken) >= most {
 			return
 		}
-		if o := load.takeOutcomes(); o != (Outcomes{}) {
+		if o, failed := load.takeOutcomes(); failed {
 			taken[id] = o
 		}
 	}
 }
 
-func (l *Load) takeOutcomes() Outcomes {
+func (l *Load) takeOutcomes() (Outcomes, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o := l.outcomes
-	l.outcomes = Outcomes{}
-	return o
+	if l.outcomes.failed == 0 {
+		return Outcomes{}, false
+	}
+	o := Outcomes{Answered: uint32(math.Round(l.outcomes.left(l.now()))), Failed: l.outcomes.failed}
+	l.outcomes = outcomes{}
+	return o, true
 }
--- a/state/worker/worker_test.go
+++ b/state/worker/worker_test.go
@@ -4,6 +4,7 @@
 package worker_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -56,3 +57,37 @@
 		})
 	})
 }
+
+// A failure is told with the answers of some seconds before it, once; a worker
+// that has not failed is not told of.
+func TestOutcomesAreTakenOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	loads := worker.NewLoads(clock.Now)
+	for range 10 {
+		loads.Of("sound").Outcome(false)
+		loads.Of("old").Outcome(false)
+	}
+	clock.Advance(20 * time.Second)
+	for range 3 {
+		loads.Of("new").Outcome(false)
+	}
+	loads.Of("old").Outcome(true)
+	loads.Of("new").Outcome(true)
+	loads.Of("new").Outcome(true)
+	taken := loads.TakeOutcomes(10)
+	want := map[string]worker.Outcomes{"old": {Answered: 0, Failed: 1}, "new": {Answered: 3, Failed: 2}}
+	if !maps.Equal(taken, want) {
+		t.Errorf("taken %v, want %v", taken, want)
+	}
+	if again := loads.TakeOutcomes(10); len(again) != 0 {
+		t.Errorf("taken again: %v", again)
+	}
+	loads.Of("a").Outcome(true)
+	loads.Of("b").Outcome(true)
+	if first := loads.TakeOutcomes(1); len(first) != 1 {
+		t.Errorf("%d workers, want 1", len(first))
+	}
+	if rest := loads.TakeOutcomes(1); len(rest) != 1 {
+		t.Errorf("%d workers are left, want 1", len(rest))
+	}
+}
