placement: a hall that was drained gets nothing, also while its targets are full

Cause: found while reading: a request whose move's target had no room ran at the drained hall, which an operator takes to be empty; and so did requests that are sent again.

Change: once a drain is done its hall counts as closed for the service. While it is under way the way back stays, so that nothing is refused for the move.

The test fails without the change.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -186,6 +186,20 @@
 // the others have to carry the load.
 const mostSpared = 1.0 / 3
 
+// drained reports whether an operator has drained a service out of a hall, so
+// that it must get nothing more, also while the move's targets have no room.
+func (s *Snapshot) drained(service, hall string) bool {
+	if s.Traffic == nil {
+		return false
+	}
+	for _, m := range s.Traffic.Moves(service, hall) {
+		if m.Settled() {
+			return true
+		}
+	}
+	return false
+}
+
 // eligible returns the workers that may get the request. Those that failed just
 // now are left out unless nothing else is there, and so are those that are
 // spared, unless these are too many.
@@ -197,6 +211,9 @@
 		if w.Leaving || s.Closed[w.Hall] || slices.Contains(r.Tried, w.ID) || r.Allows != nil && !r.Allows(w.Region) {
 			continue
 		}
+		if s.drained(r.Service, w.Hall) {
+			continue
+		}
 		switch load := p.cfg.Loads.Of(w.ID); {
 		case load.Paused():
 			paused = append(paused, w)
--- a/coordination/placement/steer_test.go
+++ b/coordination/placement/steer_test.go
@@ -79,6 +79,21 @@
 			f.steered(spec.Traffic{Moves: []spec.Move{moveOf("south-a", share.Whole, share.Whole)}})
 			So(f.halls()["north-a"], ShouldAlmostEqual, before["north-a"], 1e-9)
 		})
+		Convey("a drain that is done leaves the hall nothing, also where its target is full", func() {
+			m := moveOf("north-b", share.Whole, share.Whole)
+			m.Drain, m.State = true, spec.MoveDone
+			f.steered(spec.Traffic{Moves: []spec.Move{m}})
+			refused := 0
+			for key := range uint64(300) { // Nothing ends: every worker fills up.
+				c, refusal := f.placer.Place(f.snapshot, request(key))
+				if refusal != placement.RefusalNone {
+					refused++
+					continue
+				}
+				So(c.Worker().Hall, ShouldEqual, "north-b")
+			}
+			So(refused, ShouldBeGreaterThan, 0)
+		})
 		Convey("a move keeps what it does not touch on its worker", func() {
 			kept := make(map[uint64]string)
 			for key := range uint64(500) {
