placement: VMs that have just started own no cold worker

All VMs start anew at 31.2 s, while a release goes on. A VM that knows no other takes itself for the only one, so each of 28 owned every cold worker; and one that knows the list but has heard nobody had one token in hand, which adds up as well.

Ruled out: the owner's rate (two owners stay within the bound, tested).

Change: for 2 s after its start a VM names nobody, so it sends cold workers nothing; a VM that is alone begins with an empty bucket.

--- a/coordination/placement/cold.go
+++ b/coordination/placement/cold.go
@@ -67,19 +67,20 @@
 		return false
 	}
 	live, listed := c.cfg.Peers.Live(w.Region)
-	if 2*len(live) >= listed {
-		owner := assign.Top(w.ID, live, 1)
-		if len(owner) == 0 || owner[0] != c.cfg.VM {
-			return false
-		}
-		rate *= coldPart
-	} else {
-		rate *= isolatedPart / float64(listed)
+	if 2*len(live) < listed {
+		// It begins with nothing in hand: what many VMs that are alone may send
+		// at once adds up.
+		return c.spend(w.ID, rate*isolatedPart/float64(listed), 0)
+	}
+	owner := assign.Top(w.ID, live, 1)
+	if len(owner) == 0 || owner[0] != c.cfg.VM {
+		return false
 	}
-	return c.spend(w.ID, rate)
+	return c.spend(w.ID, rate*coldPart, 1)
 }
 
-func (c *Cold) spend(id string, rate float64) bool {
+// spend takes a token from a worker's bucket, which has so many at first.
+func (c *Cold) spend(id string, rate, first float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
@@ -88,7 +89,7 @@
 		if len(c.buckets) >= maxBuckets {
 			clear(c.buckets)
 		}
-		b = &bucket{tokens: 1, filled: now}
+		b = &bucket{tokens: first, filled: now}
 		c.buckets[id] = b
 	}
 	b.tokens = min(coldBurst, b.tokens+rate*now.Sub(b.filled).Seconds())
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -373,6 +373,43 @@
 	})
 }
 
+// In a large region no VM may know the others, say when all have just started:
+// what each may send at once adds up.
+func TestColdRateOfManyThatAreAlone(t *testing.T) {
+	const rate, bears, vms = 2.8, 2.8*1.5 + 8, 60
+	clock := clockwork.NewFakeClock()
+	sees := make(map[string][]string)
+	for i := range vms {
+		sees[fmt.Sprint(i)] = []string{fmt.Sprint(i)}
+	}
+	r := &region{sees: sees}
+	w, sent := worker.Worker{ID: "w", Region: "north"}, 0
+	for vm := range sees {
+		cold := placement.NewCold(placement.ColdConfig{VM: vm, Region: "north", Peers: seenBy{r, vm}, Now: clock.Now})
+		for range 3 {
+			if cold.Take(w, rate) {
+				sent++
+			}
+		}
+	}
+	if float64(sent) > bears {
+		t.Errorf("%d at once, it bears %.1f", sent, bears)
+	}
+}
+
+// A VM that knows of no VM at all, not even itself, sends nothing.
+func TestColdWorkersGetNothingFromAVMThatKnowsNothing(t *testing.T) {
+	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: nobody{}, Now: time.Now})
+	if cold.Take(worker.Worker{ID: "w", Region: "north"}, 100) {
+		t.Error("it sent one")
+	}
+}
+
+// nobody knows no VM.
+type nobody struct{}
+
+func (nobody) Live(string) ([]string, int) { return nil, 0 }
+
 // A region whose workers are all cold gives what they cannot take to warm ones.
 func TestColdRegionLeansOnWarmOnes(t *testing.T) {
 	Convey("With all workers at home cold", t, func() {
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -52,8 +52,17 @@
 	return live
 }
 
-// Live implements placement.Peers.
+// settleTime is for how long after its start a VM takes no part in what VMs
+// divide among them: until it has heard of the others it would take itself for
+// the only one, and so would all that start with it.
+const settleTime = 2 * time.Second
+
+// Live implements placement.Peers. A VM that has just started, or does not know
+// the list of VMs, names nobody.
 func (g *Gateway) Live(region string) (ids []string, listed int) {
+	if _, known := g.replica.At(g.cfg.Codec.MemberKind()); !known || time.Since(g.started) < settleTime {
+		return nil, 0
+	}
 	for _, m := range g.live() {
 		if g.cfg.Halls[m.Hall] == region {
 			ids = append(ids, m.ID)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,6 +326,18 @@
 	})
 }
 
+// A VM that has just started takes no part in what VMs divide among them.
+func TestStartingVMOwnsNothing(t *testing.T) {
+	f := newFleet(t)
+	f.worker("w1", "s", "north-a")
+	v := f.start("a", "north-a", nil)
+	f.until("it serves", v.ready)
+	if ids, listed := v.Live("north"); len(ids) > 0 || listed > 0 {
+		t.Errorf("it names %v of %d", ids, listed)
+	}
+	f.until("it takes part", func() bool { ids, listed := v.Live("north"); return len(ids) == 1 && listed == 1 })
+}
+
 // The directory names the VMs of the client's region that live, and those of
 // others only while it has none.
 func TestDirectory(t *testing.T) {
