balance: keys move from pressed workers by a table that one VM decides

Cause: hashing gives keys to workers, not requests.

Change: VMs count requests by key, tell their region's watcher with the question for news, watchers tell one VM, which moves keys from workers above 0.75 of their slots to the idlest of the region, else of another one, a few at a decision; keys stay where they are warm when a worker joins; a cold worker is spared while the key's next holder has room. Without a decider the table stays as it is, and what it does not name is placed by hashing.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -31,6 +31,8 @@
 	"time"
 
 	"github.com/ryehill/ryehill/coordination/steer"
+	"github.com/ryehill/ryehill/state/demand"
+	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
@@ -44,6 +46,10 @@
 // in docs/design/platform.md).
 var holderRoom = [...]float64{2, 1.0 / 3}
 
+// coldRelief is the part of the slots of a key's next warm holder up to which
+// cold workers are spared the key.
+const coldRelief = 0.6
+
 // Refusal says why no worker was found.
 type Refusal string
 
@@ -136,7 +142,7 @@
 // Remote reports whether the worker is in another region.
 func (c Choice) Remote() bool { return c.remote }
 
-// Config sets up a Placer. All fields are required.
+// Config sets up a Placer. All fields are required but Holders and Demand.
 type Config struct {
 	// Hall and Region are those of this VM.
 	Hall, Region string
@@ -145,13 +151,25 @@
 	// Steerer counts requests against the operators' moves and caps.
 	Steerer *steer.Steerer
 	Now     func() time.Time
+	// Holders says which worker holds a key. Nil leaves all to hashing.
+	Holders *holders.Table
+	// Demand counts what callers ask for. Nil counts nothing.
+	Demand *demand.Meter
 }
 
 // Placer chooses workers. It is safe for concurrent use.
 type Placer struct{ cfg Config }
 
 // New returns a placer.
-func New(cfg Config) *Placer { return &Placer{cfg: cfg} }
+func New(cfg Config) *Placer {
+	if cfg.Holders == nil {
+		cfg.Holders = holders.NewTable()
+	}
+	if cfg.Demand == nil {
+		cfg.Demand = demand.NewMeter(cfg.Region)
+	}
+	return &Placer{cfg: cfg}
+}
 
 // Place chooses a worker for a request and counts it, or says why there is
 // none.
@@ -163,7 +181,9 @@
 	if len(eligible) == 0 {
 		return Choice{}, RefusalNoWorker
 	}
-	choice, refusal := p.chooseAt(s, r, eligible, p.destination(s, r, eligible))
+	to := p.destination(s, r, eligible)
+	p.count(r)
+	choice, refusal := p.chooseAt(s, r, eligible, to)
 	if refusal != RefusalCold {
 		return choice, refusal
 	}
@@ -176,6 +196,17 @@
 	return p.chooseAt(s, r, warm, p.placed(shareOut(p.cfg.Region, s.Regions, warm, r)))
 }
 
+// count counts what a caller asks for, once for each request.
+func (p *Placer) count(r Request) {
+	if len(r.Tried) > 0 {
+		return
+	}
+	p.cfg.Demand.Arrived()
+	if r.Keyed {
+		p.cfg.Demand.Keyed(demand.Key{Service: r.Service, Region: p.cfg.Region, Hash: r.Key})
+	}
+}
+
 // cold reports whether a worker is taken as cold.
 func (p *Placer) cold(s *Snapshot, w worker.Worker) bool {
 	now := p.cfg.Now()
@@ -238,8 +269,41 @@
 	weight uint64
 }
 
-// ranked returns the workers of a region, best first for the key.
-func ranked(workers []worker.Worker, region string, key uint64) []candidate {
+// holder returns the worker that the table names for a request's key, if it may
+// get the request.
+func (p *Placer) holder(r Request, workers []worker.Worker) (worker.Worker, bool) {
+	if !r.Keyed {
+		return worker.Worker{}, false
+	}
+	id, ok := p.cfg.Holders.Holder(holders.KeyOf(r.Service, p.cfg.Region, r.Key))
+	if !ok {
+		return worker.Worker{}, false
+	}
+	at := slices.IndexFunc(workers, func(w worker.Worker) bool { return w.ID == id })
+	if at < 0 {
+		return worker.Worker{}, false
+	}
+	return workers[at], true
+}
+
+// ranked returns the workers of a region, best first for the request's key: the
+// one that the table names, then those that hashing gives it.
+func (p *Placer) ranked(r Request, workers []worker.Worker, region string) []candidate {
+	list := hashed(workers, region, r.Key)
+	holder, ok := p.holder(r, workers)
+	if !ok {
+		return list
+	}
+	if at := slices.IndexFunc(list, func(c candidate) bool { return c.worker.ID == holder.ID }); at > 0 {
+		held := list[at]
+		copy(list[1:at+1], list[:at])
+		list[0] = held
+	}
+	return list
+}
+
+// hashed returns the workers of a region, best first for a key by hashing.
+func hashed(workers []worker.Worker, region string, key uint64) []candidate {
 	list := make([]candidate, 0, len(workers))
 	for _, w := range workers {
 		if w.Region == region {
@@ -257,10 +321,14 @@
 	service, _ := s.Routes.Service(r.Service)
 	refusal, held := RefusalNoWorker, 0
 	var considered []Considered
-	for _, c := range ranked(workers, region, r.Key) {
+	list := p.ranked(r, workers, region)
+	for i, c := range list {
 		seen := Considered{ID: c.worker.ID, Hall: c.worker.Hall, Region: region, Cold: p.cold(s, c.worker)}
 		if seen.Cold {
 			considered = append(considered, seen)
+			if held == 0 && p.relieved(s, list[i+1:]) {
+				continue // Another has room, and is not slow.
+			}
 			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
 				return p.take(c.worker, considered), RefusalNone
 			}
@@ -282,6 +350,17 @@
 	return Choice{considered: considered}, refusal
 }
 
+// relieved reports whether the first warm one of the next holders of a key has
+// room enough to do without the cold ones before it.
+func (p *Placer) relieved(s *Snapshot, next []candidate) bool {
+	for _, c := range next {
+		if !p.cold(s, c.worker) {
+			return p.cfg.Loads.Of(c.worker.ID).Busy() < coldRelief*float64(c.worker.Slots)
+		}
+	}
+	return false
+}
+
 func (p *Placer) take(w worker.Worker, considered []Considered) Choice {
 	load := p.cfg.Loads.Of(w.ID)
 	load.Begin()
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/steer"
+	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/worker"
 )
@@ -439,3 +440,88 @@
 		})
 	})
 }
+
+// newHeldFixture has a placer that follows a table of holders.
+func newHeldFixture(counts map[string]int, change func(*worker.Worker)) (*fixture, *holders.Table) {
+	f, table := newFixture(counts, change), holders.NewTable()
+	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: alone{}, Now: f.clock.Now})
+	f.placer = placement.New(placement.Config{
+		Hall: "north-a", Region: "north", Loads: f.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: "north-a"}),
+		Now: f.clock.Now, Holders: table,
+	})
+	return f, table
+}
+
+func TestTableOfHolders(t *testing.T) {
+	Convey("With a table of holders", t, func() {
+		f, table := newHeldFixture(map[string]int{"north": 8, "south": 8, "east": 8}, nil)
+		hashed, _ := f.placer.Place(f.snapshot, request(7))
+		hold := func(id string) { table.Change(holders.Change{holders.KeyOf("read", "north", 7): id}) }
+		place := func() placement.Choice {
+			c, refusal := f.placer.Place(f.snapshot, request(7))
+			So(refusal, ShouldEqual, placement.RefusalNone)
+			return c
+		}
+		Convey("a key goes to the worker that holds it, also in another region", func() {
+			hold("north-3")
+			So(place().Worker().ID, ShouldEqual, "north-3")
+			hold("south-3")
+			c := place()
+			So(c.Worker().ID, ShouldEqual, "south-3")
+			So(c.Moved(), ShouldBeTrue)
+			So(c.Steered(), ShouldContainSubstring, "south-3")
+		})
+		Convey("a holder that is gone, closed or was tried is passed over", func() {
+			hold("north-99")
+			So(place().Worker().ID, ShouldEqual, hashed.Worker().ID)
+			hold("south-3")
+			f.snapshot.Closed = map[string]bool{"south-b": true}
+			So(place().Worker().ID, ShouldEqual, hashed.Worker().ID)
+			f.snapshot.Closed = nil
+			r := request(7)
+			r.Tried = []string{"south-3"}
+			c, _ := f.placer.Place(f.snapshot, r)
+			So(c.Worker().ID, ShouldNotEqual, "south-3")
+		})
+		Convey("a request that may not run in the holder's region stays at home", func() {
+			hold("south-3")
+			r := request(7)
+			r.Allows = func(region string) bool { return region == "north" }
+			c, _ := f.placer.Place(f.snapshot, r)
+			So(c.Worker().Region, ShouldEqual, "north")
+		})
+		Convey("a request without a key is not held", func() {
+			hold("north-3")
+			r := request(7)
+			r.Keyed = false
+			ids := make(map[string]bool)
+			for range 20 {
+				c, _ := f.placer.Place(f.snapshot, r)
+				ids[c.Worker().ID] = true
+				c.Load().End()
+			}
+			So(len(ids), ShouldBeGreaterThan, 3)
+		})
+	})
+}
+
+// A worker that has just started gets a key by hashing only while the key's next
+// holder, which is warm, has no room.
+func TestColdWorkersAreSparedWhileOthersHaveRoom(t *testing.T) {
+	f := newFixture(map[string]int{"north": 8}, nil)
+	first, _ := f.placer.Place(f.snapshot, request(7))
+	first.Load().End()
+	g := newFixture(map[string]int{"north": 8}, func(w *worker.Worker) {
+		if w.ID == first.Worker().ID {
+			w.ColdUntil = f.clock.Now().Add(time.Hour)
+		}
+	})
+	ids := make(map[string]int)
+	for range 4 {
+		c, _ := g.placer.Place(g.snapshot, request(7))
+		ids[c.Worker().ID]++
+	}
+	if ids[first.Worker().ID] != 1 || len(ids) != 2 {
+		t.Errorf("requests went to %v, want three to the next holder, then one to %s", ids, first.Worker().ID)
+	}
+}
--- /dev/null
+++ b/internal/gateway/balance.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ryehill/ryehill/coordination/assign"
+	"github.com/ryehill/ryehill/coordination/balance"
+	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/demand"
+	"github.com/ryehill/ryehill/state/holders"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+const (
+	// balanceInterval is the time between two reports of a region's watcher to
+	// the balancer, and between two decisions there. With the time in which a
+	// region's VMs ask their watcher, a decision reaches all in a second.
+	balanceInterval = 500 * time.Millisecond
+	// balanceTimeout bounds a report to the balancer.
+	balanceTimeout = 800 * time.Millisecond
+)
+
+// balancer is this VM's part in deciding which worker holds each key. The VMs of
+// a region tell their watcher what their callers ask for, the watchers tell one
+// VM of the fleet, and its decisions come back the same way. Nobody has to agree
+// on who decides: a VM that is asked decides, from the table that it has
+// followed until then. While nobody decides, all go on with the table as it is,
+// and place by hashing what it does not name.
+type balancer struct {
+	meter    *demand.Meter
+	table    *holders.Table
+	decider  *balance.Balancer
+	mu       sync.Mutex
+	own      uint64 // the epoch of this VM's own decisions, 0 for none
+	decided  time.Time
+	avoided  map[string]time.Time
+	fetching sync.Mutex
+}
+
+func newBalancer(region string) *balancer {
+	table := holders.NewTable()
+	return &balancer{
+		meter: demand.NewMeter(region), table: table, avoided: make(map[string]time.Time),
+		decider: balance.New(balance.Config{Table: table, Now: time.Now}),
+	}
+}
+
+// balanceLoop reports what the callers of this region ask for, while this VM is
+// the one that the others of the region tell.
+func (g *Gateway) balanceLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, balanceInterval)
+		if !g.Ready() || !g.watches() {
+			continue
+		}
+		m := g.balancerVM(time.Now())
+		report := g.balancer.meter.Take()
+		if m.ID == g.cfg.VM {
+			g.decide(report)
+			continue
+		}
+		if err := g.reportDemand(ctx, m, report); err != nil {
+			g.balancer.avoid(m.ID, time.Now())
+			g.log.Info("balance: the VM that decides does not answer", "peer", m.ID, "error", err.Error())
+		}
+	}
+}
+
+func (b *balancer) avoid(id string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.avoided[id] = now.Add(avoidFor)
+}
+
+func (b *balancer) avoids(id string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until, ok := b.avoided[id]
+	if ok && !now.Before(until) {
+		delete(b.avoided, id)
+		return false
+	}
+	return ok
+}
+
+// balancerVM returns the VM of the fleet that decides; it may be this one.
+func (g *Gateway) balancerVM(now time.Time) membership.Member {
+	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
+	ids := []string{g.cfg.VM}
+	for _, m := range g.live() {
+		if m.ID != g.cfg.VM && !g.balancer.avoids(m.ID, now) {
+			candidates[m.ID] = m
+			ids = append(ids, m.ID)
+		}
+	}
+	return candidates[assign.Top("balancer", ids, 1)[0]]
+}
+
+// reportDemand tells the balancer what callers ask for, and takes in what it has
+// decided.
+func (g *Gateway) reportDemand(ctx context.Context, m membership.Member, report demand.Report) error {
+	ctx, cancel := context.WithTimeout(ctx, balanceTimeout)
+	defer cancel()
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Balance{Balance: toBalance(g.balancer.table, report)}}
+	reply, err := g.peers.Call(ctx, peer.Target{VM: m.ID, Address: m.Peer}, message)
+	g.cfg.Metrics.PeerCall("balance", err)
+	if err != nil {
+		return err
+	}
+	g.balancer.table.Merge(fromBalanced(reply.GetBalanced()))
+	return nil
+}
+
+// balanced answers a VM that reports the demand of its region.
+func (g *Gateway) balanced(from peer.Identity, b *peerpb.Balance) *peerpb.Balanced {
+	table := g.balancer.table
+	if table.Epoch() == 0 && b.GetEpoch() != 0 {
+		go g.fetchTable(from)
+	}
+	if b.GetRegion() != "" {
+		g.decide(fromBalance(b))
+	}
+	return toBalanced(table.Since(b.GetEpoch(), b.GetVersion()))
+}
+
+// fetchTable asks a VM for the table that it follows, since this one has none.
+func (g *Gateway) fetchTable(from peer.Identity) {
+	if !g.balancer.fetching.TryLock() {
+		return
+	}
+	defer g.balancer.fetching.Unlock()
+	m, ok := g.members.Member(from.VM)
+	if !ok {
+		return
+	}
+	if err := g.reportDemand(context.Background(), m, demand.NewReport("")); err != nil {
+		g.log.Info("balance: no table had from a VM that has one", "peer", from.VM, "error", err.Error())
+	}
+}
+
+// decide adds what was counted and decides, if the last time is long enough ago.
+// A VM without a table waits for a while, since others may have one.
+func (g *Gateway) decide(report demand.Report) {
+	b, now := g.balancer, time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := g.snapshot.Load()
+	if s == nil || b.table.Epoch() == 0 && now.Sub(g.started) < settleTime {
+		return
+	}
+	if b.own == 0 || b.table.Epoch() != b.own {
+		b.own = uint64(now.UnixMicro())
+		b.table.Begin(b.own)
+		b.decider.Restart()
+		g.log.Info("balance: this VM decides which workers hold keys", "epoch", b.own, "keys", b.table.Len())
+	}
+	b.decider.Add(report)
+	if now.Sub(b.decided) < balanceInterval {
+		return
+	}
+	b.decided = now
+	if moved := b.decider.Decide(g.placer.Fleet(s)); moved > 0 {
+		g.cfg.Metrics.KeysMoved(moved)
+		g.log.Info("balance: keys moved from pressed workers", "keys", moved, "version", b.table.Version(), "entries", b.table.Len())
+	}
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -3,5 +3,28 @@
 
 package gateway
 
+import "github.com/ryehill/ryehill/state/holders"
+
 // Lapsed is lapsed, for tests.
 var Lapsed = lapsed
+
+// TableEpoch returns the epoch of the table of holders.
+func (g *Gateway) TableEpoch() uint64 { return g.balancer.table.Epoch() }
+
+// Decides reports whether the table of holders is this VM's own.
+func (g *Gateway) Decides() bool {
+	g.balancer.mu.Lock()
+	defer g.balancer.mu.Unlock()
+	return g.balancer.own != 0 && g.balancer.own == g.balancer.table.Epoch()
+}
+
+// Move names the holder of a key, as a decision does.
+func (g *Gateway) Move(service, region string, key uint64, worker string) {
+	g.balancer.table.Change(holders.Change{holders.KeyOf(service, region, key): worker})
+}
+
+// Holder returns the worker that the table names for a key.
+func (g *Gateway) Holder(service, region string, key uint64) string {
+	id, _ := g.balancer.table.Holder(holders.KeyOf(service, region, key))
+	return id
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	away      absence
 	judge     *outlier.Judge
 	watchers  *watchers
+	placer    *placement.Placer
+	balancer  *balancer
 	failed    chan error
 }
 
@@ -128,11 +130,15 @@
 	})
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer})
 	cold := placement.NewCold(placement.ColdConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: time.Now})
+	g.balancer = newBalancer(g.region())
+	g.placer = placement.New(placement.Config{
+		Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: time.Now,
+		Holders: g.balancer.table, Demand: g.balancer.meter,
+	})
 	g.ingress = ingress.New(ingress.Config{
 		Snapshot: g.snapshot.Load, Upstreams: g.upstreams, Dialect: cfg.Dialect, Metrics: cfg.Metrics, Log: g.log,
-		Placer: placement.New(placement.Config{
-			Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: time.Now,
-		}),
+		Placer: g.placer,
+		Demand: g.balancer.meter,
 		Meters: g.meters,
 		VMs:    func() int { return len(g.members.All()) + 1 },
 		VM:     cfg.VM, Decisions: g.decisions, Age: g.age,
@@ -243,7 +249,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,6 +140,8 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Probe{Probe: g.probeMessage(from.VM)}}
 	case *peerpb.Envelope_Sync:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: g.tell(ctx, k.Sync)}}
+	case *peerpb.Envelope_Balance:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Balanced{Balanced: g.balanced(from, k.Balance)}}
 	case *peerpb.Envelope_Report:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Reported{Reported: g.reported()}}
 	default:
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -147,6 +147,7 @@
 	ask := &peerpb.Sync{Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds())}
 	if hold > 0 {
 		ask.Outcomes = toOutcomes(g.takeOutcomes())
+		ask.Balance = toBalance(g.balancer.table, g.balancer.meter.Take())
 	}
 	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: ask}}
 	reply, err := g.peers.Call(ctx, from, message)
@@ -156,6 +157,7 @@
 	}
 	answer := reply.GetSynced()
 	g.hearSpared(answer.GetSparedMillis())
+	g.balancer.table.Merge(fromBalanced(answer.GetBalanced()))
 	g.noteAbsence(time.Now())
 	for _, d := range answer.GetDeltas() {
 		g.replica.Merge(fromDelta(d))
@@ -187,6 +189,9 @@
 		g.watchers.ask(time.Now())
 	}
 	g.hearOutcomes(ask.GetOutcomes())
+	if b := ask.GetBalance(); b.GetRegion() == g.region() {
+		g.balancer.meter.Add(fromBalance(b))
+	}
 	asked := time.Now()
 	hold := min(time.Duration(ask.GetHoldMillis())*time.Millisecond, askHold)
 	deadline := time.NewTimer(hold)
@@ -196,6 +201,9 @@
 		if answer := g.synced(ask); hasNews(answer) || time.Since(asked) >= hold {
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
 			answer.SparedMillis = g.sparedMillis()
+			if b := ask.GetBalance(); b != nil {
+				answer.Balanced = toBalanced(g.balancer.table.Since(b.GetEpoch(), b.GetVersion()))
+			}
 			return answer
 		}
 		select {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,7 @@
 	reportAge *prometheus.GaugeVec
 	revision  prometheus.Gauge
 	members   *prometheus.GaugeVec
+	keysMoved prometheus.Counter
 }
 
 // New returns a set with a registry of its own.
@@ -66,7 +67,10 @@
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
 		}),
 	}
-	r.MustRegister(s.duration, s.revision, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.keysMoved = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "ryehill", Name: "keys_moved_total", Help: "Keys that this VM has moved from pressed workers to others.",
+	})
+	r.MustRegister(s.duration, s.revision, s.keysMoved, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
 
@@ -128,6 +132,9 @@
 	s.reportAge.WithLabelValues(service).Set(age.Seconds())
 }
 
+// KeysMoved counts keys that were moved from pressed workers.
+func (s *Set) KeysMoved(n int) { s.keysMoved.Add(float64(n)) }
+
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
--- /dev/null
+++ b/state/holders/holders_test.go
@@ -0,0 +1,107 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package holders_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehill/ryehill/state/holders"
+)
+
+// A follower that is told now and then, of any part of the changes, in any epoch,
+// has the decider's table once it is told again; late and repeated deltas change
+// nothing.
+func TestFollowersConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		decider, follower := holders.NewTable(), holders.NewTable()
+		decider.Begin(1)
+		var old []holders.Delta
+		steps := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 60).Draw(t, "steps")
+		for i, step := range steps {
+			switch {
+			case step < 6:
+				key := holders.Key(rapid.IntRange(0, 20).Draw(t, "key"))
+				worker := rapid.SampledFrom([]string{"", "w1", "w2", "w3"}).Draw(t, "worker")
+				decider.Change(holders.Change{key: worker})
+			case step == 6:
+				decider.Begin(uint64(i + 2))
+			case step == 7 && len(old) > 0:
+				follower.Merge(rapid.SampledFrom(old).Draw(t, "late"))
+			default:
+				d := decider.Since(follower.Epoch(), follower.Version())
+				old = append(old, d)
+				follower.Merge(d)
+			}
+		}
+		follower.Merge(decider.Since(follower.Epoch(), follower.Version()))
+		for key := range holders.Key(21) {
+			want, held := decider.Holder(key)
+			got, known := follower.Holder(key)
+			if got != want || known != held {
+				t.Fatalf("key %d: follower has %q, decider %q", key, got, want)
+			}
+		}
+	})
+}
+
+// A table that has removed more keys than it remembers tells everything to those
+// who are behind.
+func TestForgottenRemovals(t *testing.T) {
+	decider, follower := holders.NewTable(), holders.NewTable()
+	decider.Begin(1)
+	const keys = 3000
+	all := make(holders.Change)
+	for key := range holders.Key(keys) {
+		all[key] = "w1"
+	}
+	decider.Change(all)
+	follower.Merge(decider.Since(0, 0))
+	for key := range holders.Key(keys - 1) {
+		decider.Change(holders.Change{key: ""})
+	}
+	d := decider.Since(follower.Epoch(), follower.Version())
+	if !d.Full {
+		t.Errorf("the delta of %d entries is not full", len(d.Holders))
+	}
+	follower.Merge(d)
+	if follower.Len() != 1 {
+		t.Errorf("the follower has %d keys, want 1", follower.Len())
+	}
+}
+
+// A table is bounded; what it does not take is placed by hashing.
+func TestTableIsBounded(t *testing.T) {
+	table := holders.NewTable()
+	for i := range holders.MaxEntries + 100 {
+		table.Change(holders.Change{holders.KeyOf("s", "r", uint64(i)): "w"})
+	}
+	if table.Len() != holders.MaxEntries {
+		t.Errorf("%d entries, want %d", table.Len(), holders.MaxEntries)
+	}
+}
+
+// A change that a follower missed is not passed over.
+func TestGapsAreNotMerged(t *testing.T) {
+	decider, follower := holders.NewTable(), holders.NewTable()
+	decider.Begin(1)
+	follower.Merge(decider.Since(0, 0))
+	decider.Change(holders.Change{1: "w1"})
+	missed := decider.Version()
+	decider.Change(holders.Change{2: "w2"})
+	follower.Merge(decider.Since(1, missed))
+	if _, ok := follower.Holder(2); ok {
+		t.Error("the follower took a change that leaves a gap")
+	}
+}
+
+func ExampleTable() {
+	table := holders.NewTable()
+	table.Begin(1)
+	table.Change(holders.Change{holders.KeyOf("lookup", "north", 17): "w-1"})
+	fmt.Println(table.Holder(holders.KeyOf("lookup", "north", 17)))
+	// Output: w-1 true
+}
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -33,6 +33,7 @@
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/decision"
+	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/transport/upstream"
@@ -69,6 +70,8 @@
 	// Age returns how old the knowledge of workers and configuration is. Nil
 	// leaves it out of records.
 	Age func() time.Duration
+	// Demand is told how long workers take. Nil is nobody.
+	Demand *demand.Meter
 	// Meters sum what is sent to the workers of each hall. Nil sums for nobody.
 	Meters *load.HallMeters
 	// VMs returns how many VMs share what a worker accepts; at least 1.
@@ -94,6 +97,9 @@
 	if cfg.Meters == nil {
 		cfg.Meters = load.NewHallMeters(time.Now)
 	}
+	if cfg.Demand == nil {
+		cfg.Demand = demand.NewMeter("")
+	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), budgets: make(map[string]*retry.Budget)}
 }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -112,6 +112,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stopWaiting := q.grantPatience(ctx, cancel, number)
+	sent := time.Now()
 	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
 	next := stopWaiting()
 	if err != nil {
@@ -125,6 +126,7 @@
 		held.Told(running, waiting)
 	}
 	held.Outcome(failing(answer.Status()))
+	q.handler.cfg.Demand.Served(w.Service, time.Since(sent))
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
 		return &failure{cause: retry.CauseBroken, err: err}, nil
