worker: VMs of a region share what workers tell them of their load

Change: the question for news carries what workers told the VM since the last one, the answer what they told any VM of the region; a word counts for 2 s.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -28,3 +28,6 @@
 	id, _ := g.balancer.table.Holder(holders.KeyOf(service, region, key))
 	return id
 }
+
+// Busy returns how many requests this VM takes a worker to hold.
+func (g *Gateway) Busy(worker string) float64 { return g.loads.Of(worker).Busy() }
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -147,6 +147,7 @@
 	ask := &peerpb.Sync{Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds())}
 	if hold > 0 {
 		ask.Outcomes = toOutcomes(g.takeOutcomes())
+		ask.Loads = toLoads(g.loads.TakeWords())
 		ask.Balance = toBalance(g.balancer.table, g.balancer.meter.Take())
 	}
 	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: ask}}
@@ -157,6 +158,7 @@
 	}
 	answer := reply.GetSynced()
 	g.hearSpared(answer.GetSparedMillis())
+	g.hearLoads(answer.GetLoads())
 	g.balancer.table.Merge(fromBalanced(answer.GetBalanced()))
 	g.noteAbsence(time.Now())
 	for _, d := range answer.GetDeltas() {
@@ -189,6 +191,7 @@
 		g.watchers.ask(time.Now())
 	}
 	g.hearOutcomes(ask.GetOutcomes())
+	g.hearLoads(ask.GetLoads())
 	if b := ask.GetBalance(); b.GetRegion() == g.region() {
 		g.balancer.meter.Add(fromBalance(b))
 	}
@@ -201,6 +204,9 @@
 		if answer := g.synced(ask); hasNews(answer) || time.Since(asked) >= hold {
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
 			answer.SparedMillis = g.sparedMillis()
+			if ask.GetHoldMillis() > 0 {
+				answer.Loads = toLoads(g.loads.Words())
+			}
 			if b := ask.GetBalance(); b != nil {
 				answer.Balanced = toBalanced(g.balancer.table.Since(b.GetEpoch(), b.GetVersion()))
 			}
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -13,8 +13,9 @@
 const (
 	shardCount = 16
 	// reportFades is after how long a worker's own word on its load counts
-	// for nothing.
-	reportFades = time.Second
+	// for nothing. VMs of a region hear of each other's words within about
+	// 0.7 s (two questions for news), so that some of it is left then.
+	reportFades = 2 * time.Second
 	// firstPause and longestPause bound how long a worker that failed gets
 	// nothing; the pause doubles with each failure in a row.
 	firstPause   = 500 * time.Millisecond
@@ -87,7 +88,9 @@
 	own      int // requests of this VM under way
 	others   int // requests of others, as the worker last told
 	told     time.Time
-	failures int // in a row
+	total    int  // requests of all, as the worker told
+	fresh    bool // set if the worker told this VM since the last TakeWords
+	failures int  // in a row
 	pausedTo time.Time
 	outcomes outcomes
 	sparedTo time.Time
@@ -121,10 +124,11 @@
 	defer l.mu.Unlock()
 	l.others = max(0, running+waiting-(l.own-1))
 	l.told = l.now()
+	l.total, l.fresh = running+waiting, true
 }
 
 // Busy returns how many requests the worker is thought to hold: those of this
-// VM and, fading within a second, what it last told of others.
+// VM and, fading within reportFades, what it last told of others.
 func (l *Load) Busy() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/state/worker/words.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package worker
+
+import "time"
+
+const (
+	// leastWord is the number of requests from which on a worker's word is
+	// passed on: one request alone tells that it is idle, as no word does.
+	leastWord = 2
+	// maxWords bounds the words of one message: 16 KB.
+	maxWords = 1024
+)
+
+// Word is what a worker told of the requests that it runs and holds.
+type Word struct {
+	Requests int
+	// Age is how long ago the worker told it.
+	Age time.Duration
+}
+
+// Heard takes in what the worker told another VM, unless what is known is newer.
+func (l *Load) Heard(w Word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := l.now().Add(-w.Age)
+	if !at.After(l.told) {
+		return
+	}
+	l.told, l.total = at, w.Requests
+	l.others = max(0, w.Requests-l.own)
+}
+
+// word returns the worker's last word, if it still counts.
+func (l *Load) word() (Word, bool) {
+	age := l.now().Sub(l.told)
+	return Word{Requests: l.total, Age: age}, age < reportFades && l.total >= leastWord
+}
+
+// TakeWords returns what workers told this VM since the last call, by the
+// worker's id.
+func (l *Loads) TakeWords() map[string]Word {
+	return l.words(func(load *Load) bool {
+		fresh := load.fresh
+		load.fresh = false
+		return fresh
+	})
+}
+
+// Words returns what workers told this VM or any that it heard of, by the
+// worker's id.
+func (l *Loads) Words() map[string]Word {
+	return l.words(func(*Load) bool { return true })
+}
+
+// words returns the words that still count of the workers that are wanted. Each
+// is asked for under its lock.
+func (l *Loads) words(wanted func(*Load) bool) map[string]Word {
+	words := make(map[string]Word)
+	for i := range l.shards {
+		l.shards[i].words(words, wanted)
+	}
+	return words
+}
+
+func (s *shard) words(words map[string]Word, wanted func(*Load) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, load := range s.loads {
+		if len(words) >= maxWords {
+			return
+		}
+		load.mu.Lock()
+		if w, counts := load.word(); wanted(load) && counts {
+			words[id] = w
+		}
+		load.mu.Unlock()
+	}
+}
