--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -350,6 +350,14 @@
 	return Choice{considered: considered}, refusal
 }
 
+// Room reports whether any warm worker in the VM's region that may get the
+// request has a free slot, whether it holds the request's key or not.
+func (p *Placer) Room(s *Snapshot, r Request) bool {
+	return slices.ContainsFunc(p.eligible(s, r), func(w worker.Worker) bool {
+		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.ID).Busy() < float64(w.Slots)
+	})
+}
+
 // relieved reports whether the first warm one of the next holders of a key has
 // room enough to do without the cold ones before it.
 func (p *Placer) relieved(s *Snapshot, next []candidate) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
--- a/transport/ingress/answer.go
+++ b/transport/ingress/answer.go
@@ -15,7 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -32,6 +31,9 @@
 	reasonLeft     = "client-left"
 	reasonAnswered = "answered"
 	reasonLate     = "late"
+	// reasonBusyRoom is placement.RefusalBusy while another worker of the
+	// region had a free slot, though it does not hold the key.
+	reasonBusyRoom = "busy-room-elsewhere"
 )
 
 const (
@@ -102,8 +104,7 @@
 	q.end(http.StatusServiceUnavailable)
 }
 
-func (q *request) refusePlacement(refusal placement.Refusal, number int) {
-	reason := string(refusal)
+func (q *request) refusePlacement(reason string, number int) {
 	if number > 1 {
 		reason += "-after-try"
 	}
--- a/transport/ingress/explain.go
+++ b/transport/ingress/explain.go
@@ -101,7 +101,9 @@
 	if age := q.handler.cfg.Age; age != nil {
 		q.record.Inputs = append(q.record.Inputs, decision.Input{Name: "workers and configuration", Value: "as the store had them", Age: age()})
 	}
-	if reason == reasonAnswered && took < q.lateAfter() {
+	late := took >= q.lateAfter()
+	q.handler.losses.ended(q.service, q.lossCause(reason, late))
+	if reason == reasonAnswered && !late {
 		q.handler.cfg.Decisions.answered.Add(q.record)
 		return
 	}
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -85,6 +85,7 @@
 	cfg      Config
 	split    *placement.Split
 	lines    *lines
+	losses   *losses
 	stopping atomic.Bool
 	inFlight atomic.Int64
 
@@ -100,7 +101,7 @@
 	if cfg.Demand == nil {
 		cfg.Demand = demand.NewMeter("")
 	}
-	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), budgets: make(map[string]*retry.Budget)}
+	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), losses: newLosses(), budgets: make(map[string]*retry.Budget)}
 }
 
 // Stop makes every answer from now on close its connection, so that clients
@@ -184,6 +185,10 @@
 	// answered is how many bytes of the answer's body were passed on.
 	answered int64
 	record   decision.Record
+	// newKey is set if the last worker had no request with this key from this
+	// VM lately, waiting is how many waited there when it answered.
+	newKey  bool
+	waiting int
 }
 
 // serve carries a request whose route is known to its answer.
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -47,7 +47,10 @@
 	h.Set("Wait", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
-func (plain) Load(http.Header) (running, waiting int, ok bool) { return 0, 0, false }
+func (plain) Load(h http.Header) (running, waiting int, ok bool) {
+	waiting, err := strconv.Atoi(h.Get("Waiting"))
+	return 0, waiting, err == nil
+}
 
 func (plain) Refused(res *http.Response) (upstream.Kind, bool) {
 	return upstream.KindShed, res.Header.Get("Not-Run") != ""
@@ -72,6 +75,9 @@
 	runs map[string][]string // by request id: the workers that got it
 }
 
+// keyedObjective is within what time requests on the keyed route are answered.
+const keyedObjective = 60 * time.Millisecond
+
 type oneVM struct{}
 
 func (oneVM) Live(string) ([]string, int) { return []string{"vm"}, 1 }
@@ -102,6 +108,10 @@
 			Routes: []route.Route{
 				{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}},
 				{Name: "pay", Host: "h", Prefix: "/pay/", MaxAttempts: 2, Timeout: time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}},
+				{
+					Name: "keyed", Host: "h", Prefix: "/keyed/", Affinity: true, MaxAttempts: 2, Timeout: time.Second, Objective: keyedObjective,
+					Targets: []route.Target{{Service: "s", Weight: 1}},
+				},
 			},
 		}),
 	}
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -42,7 +42,7 @@
 			q.noteChoice(number, choice, refusal)
 			if refusal != placement.RefusalNone {
 				q.meterRefusal(choice)
-				q.refusePlacement(refusal, number)
+				q.refusePlacement(busyReason(refusal, q.handler.cfg.Placer.Room(s, q.placement())), number)
 				return
 			}
 			next = &choice
@@ -104,6 +104,7 @@
 func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) (*failure, *placement.Choice) {
 	w := c.Worker()
 	q.tried = append(q.tried, w.ID)
+	q.newKey = q.keyed && !q.handler.losses.sent(w.ID, q.key)
 	held := c.Load()
 	defer held.End()
 	meter := q.handler.cfg.Meters.Of(w.Hall)
@@ -124,6 +125,7 @@
 	defer answer.Close()
 	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
 		held.Told(running, waiting)
+		q.waiting = waiting
 	}
 	held.Outcome(failing(answer.Status()))
 	q.handler.cfg.Demand.Served(w.Service, time.Since(sent))
