--- a/coordination/balance/balance_test.go
+++ b/coordination/balance/balance_test.go
@@ -241,3 +241,17 @@
 	}
 	return busiest
 }
+
+// BenchmarkDecide is a decision at the target: as many keys as are counted, over
+// the workers of one large service.
+func BenchmarkDecide(b *testing.B) {
+	const workers = 1000
+	f := newFixture(workers)
+	for i := range uint64(holders.MaxEntries) {
+		f.key(i, fmt.Sprintf("north-%d", i%workers), 2)
+	}
+	f.run(10)
+	for b.Loop() {
+		f.run(1)
+	}
+}
--- a/coordination/balance/spread.go
+++ b/coordination/balance/spread.go
@@ -91,21 +91,37 @@
 		if to.worker.Full || len(to.keys) > 0 {
 			continue
 		}
-		for _, from := range s.byUse() {
-			if from.worker.Region != to.worker.Region || len(from.keys) < 2 {
-				continue
-			}
-			k := from.keys[0]
-			from.drop(0)
-			to.add(k)
-			change[k.id] = to.worker.ID
-			moved++
-			break
+		from := s.busiest(to.worker.Region)
+		if from == nil {
+			continue
 		}
+		k := from.keys[0]
+		from.drop(0)
+		to.add(k)
+		change[k.id] = to.worker.ID
+		moved++
 	}
 	return moved
 }
 
+// busiest returns the worker of a region that has most in use, of those that
+// hold two keys or more.
+func (s *spread) busiest(region string) *load {
+	var most *load
+	for _, l := range s.loads {
+		if l.worker.Region == region && len(l.keys) > 1 && (most == nil || s.busier(l, most)) {
+			most = l
+		}
+	}
+	return most
+}
+
+// busier orders workers by what they have in use, then by their ids.
+func (s *spread) busier(a, b *load) bool {
+	useA, useB := s.use(a, 0), s.use(b, 0)
+	return useA > useB || useA == useB && a.worker.ID < b.worker.ID
+}
+
 // keep leaves keys where they were held, though a worker that has joined would
 // get them by hashing: it would be slow with them. A pressed worker lets them go.
 func (s *spread) keep(held map[holders.Key]string, change holders.Change) {
@@ -163,12 +179,12 @@
 // idlest returns the workers with the least in use, of a worker's own region and
 // of all others, that may get keys.
 func (s *spread) idlest(from *load) (near, far *load) {
-	for _, l := range s.byUse() {
+	for _, l := range s.loads {
 		switch {
 		case l.worker.Full || l == from:
-		case l.worker.Region == from.worker.Region:
+		case l.worker.Region == from.worker.Region && (near == nil || s.busier(near, l)):
 			near = l
-		default:
+		case l.worker.Region != from.worker.Region && (far == nil || s.busier(far, l)):
 			far = l
 		}
 	}
