--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -6,14 +6,14 @@
 //
 // Hashing gives each key a worker, but not each worker an even part of the
 // requests: with some ten keys to a worker the busiest one gets up to twice the
-// mean, and a region whose callers are busy presses its workers while those of
-// others are idle. A VM cannot correct that alone, since the others would send
+// mean. A VM cannot correct that alone, since the others would send
 // the same keys to another worker, and both would work on them slowly. So one VM
 // of the fleet runs a Balancer: it adds up what all VMs count, and writes the
 // keys that it moves to a table that all of them follow (package state/holders).
 //
-// A key is moved only away from a worker that is pressed, to one that has room: a
-// worker that holds a key for the first time is slow with it.
+// A key is moved only away from a worker that is pressed, to one of its region
+// that has room: a worker that holds a key for the first time is slow with it.
+// Which region a key runs in is not decided here.
 //
 // # Usage
 //
@@ -68,15 +68,15 @@
 	keys    map[demand.Key]*count
 	// held is the worker that held a key at the last decision.
 	held map[holders.Key]string
-	// arrivals are by region, answers and the seconds they took by service.
-	arrivals, answers, took map[string]*count
+	// answers, and the seconds they took, are by service.
+	answers, took map[string]*count
 }
 
 // New returns a balancer that knows of no demand.
 func New(cfg Config) *Balancer {
 	return &Balancer{
 		cfg: cfg, started: cfg.Now(), keys: make(map[demand.Key]*count), held: make(map[holders.Key]string),
-		arrivals: make(map[string]*count), answers: make(map[string]*count), took: make(map[string]*count),
+		answers: make(map[string]*count), took: make(map[string]*count),
 	}
 }
 
@@ -87,7 +87,6 @@
 	defer b.mu.Unlock()
 	clear(b.keys)
 	clear(b.held)
-	clear(b.arrivals)
 	clear(b.answers)
 	clear(b.took)
 }
@@ -100,7 +99,6 @@
 	if len(b.keys) == 0 {
 		b.started = now
 	}
-	add(b.arrivals, r.Region, float64(r.Arrivals), memory, now)
 	for key, n := range r.Keys {
 		add(b.keys, key, float64(n), memory, now)
 	}
@@ -118,10 +116,9 @@
 	now := b.cfg.Now()
 	change := b.forget(now)
 	moved := 0
-	budget := b.shiftBudget(now)
 	for service, keys := range b.keysByService(now) {
 		s := b.spreadOf(f, service, keys, change)
-		s.perAnswer, s.budget = b.perAnswer(service, now), budget
+		s.perAnswer = b.perAnswer(service, now)
 		if len(s.loads) == 0 {
 			continue
 		}
@@ -156,33 +153,26 @@
 	return gone
 }
 
-// shiftBudget returns, by region, how many requests a second may run in another
-// region after this decision than before.
-func (b *Balancer) shiftBudget(now time.Time) map[string]float64 {
-	budget := make(map[string]float64, len(b.arrivals))
-	for region, c := range b.arrivals {
-		budget[region] = shiftPart * b.perSecond(c, now)
-	}
-	return budget
-}
-
 // spreadOf returns which worker holds which keys of a service. Moves to workers
-// that are gone are taken back.
+// that are gone, or in a region where the key does not run any more, are taken
+// back.
 func (b *Balancer) spreadOf(f Fleet, service string, keys []keyed, change holders.Change) *spread {
 	s := &spread{loads: make(map[string]*load)}
 	for _, w := range f.Workers[service] {
 		s.loads[w.ID] = &load{worker: w}
 	}
 	for _, k := range keys {
-		holder, moved := b.cfg.Table.Holder(k.id)
-		l, ok := s.loads[holder]
-		if moved && !ok {
-			change[k.id] = ""
-		}
+		hashed, _ := f.Hashed(k.key)
+		l, ok := s.loads[hashed]
 		if !ok {
-			hashed, _ := f.Hashed(k.key)
-			if l, ok = s.loads[hashed]; !ok {
-				continue
+			continue
+		}
+		if id, moved := b.cfg.Table.Holder(k.id); moved {
+			held, ok := s.loads[id]
+			if ok && held.worker.Region == l.worker.Region {
+				l = held
+			} else {
+				change[k.id] = ""
 			}
 		}
 		l.add(k)
--- a/coordination/balance/spread.go
+++ b/coordination/balance/spread.go
@@ -15,18 +15,11 @@
 	// pressed is the part of a worker's slots in use above which keys are moved
 	// away from it: below, hardly anybody waits, and a move only costs.
 	pressed = 0.75
-	// farPressed is the part in use up to which a worker of another region gets
-	// a key: the way there costs time, so it must be worth it.
-	farPressed = 0.6
 	// leastGain is by how much more of its slots a worker must have in use than
 	// the one that gets the key, after the move.
 	leastGain = 0.05
 	// movesPart bounds the keys of a service that are moved at a decision.
 	movesPart = 0.05
-	// shiftPart bounds which part of a region's requests runs in another region
-	// after a decision. Four decisions fall within two seconds, in which
-	// operators bound what may move between regions (0.15).
-	shiftPart = 0.025
 )
 
 // load is what a worker carries by the keys it holds.
@@ -51,9 +44,6 @@
 	loads map[string]*load
 	// perAnswer is how long a request takes, in seconds.
 	perAnswer float64
-	// budget is how many requests a second may change regions, by the region
-	// of the callers.
-	budget map[string]float64
 }
 
 // use returns the part of a worker's slots that is in use if it carries so much
@@ -129,7 +119,7 @@
 		for at := len(l.keys) - 1; at >= 0; at-- {
 			k := l.keys[at]
 			before, ok := s.loads[held[k.id]]
-			if !ok || before == l || s.use(before, k.rate) > pressed {
+			if !ok || before == l || before.worker.Region != l.worker.Region || s.use(before, k.rate) > pressed {
 				continue
 			}
 			l.drop(at)
@@ -146,18 +136,17 @@
 	})
 }
 
-// move moves the busiest key of a worker for which another one has room, to the
-// idlest worker of the region or else of another one.
+// move moves the busiest key of a worker for which the idlest one of its region
+// has room. It returns nil if there is none.
 func (s *spread) move(from *load) (keyed, *load) {
-	near, far := s.idlest(from)
+	to := s.idlest(from)
+	if to == nil {
+		return keyed{}, nil
+	}
 	for at, k := range from.keys {
-		to := near
-		if !s.gains(from, to, k, pressed) {
-			to = far
-			if !s.gains(from, to, k, farPressed) || s.budget[k.key.Region] < k.rate {
-				continue
-			}
-			s.budget[k.key.Region] -= k.rate
+		after := s.use(to, k.rate)
+		if after > pressed || after+leastGain > s.use(from, 0) {
+			continue
 		}
 		from.drop(at)
 		to.add(k)
@@ -166,27 +155,17 @@
 	return keyed{}, nil
 }
 
-// gains reports whether a key is better held by another worker, of which no more
-// than a part is to be in use then.
-func (s *spread) gains(from, to *load, k keyed, most float64) bool {
-	if to == nil {
-		return false
-	}
-	after := s.use(to, k.rate)
-	return after <= most && after+leastGain <= s.use(from, 0)
-}
-
-// idlest returns the workers with the least in use, of a worker's own region and
-// of all others, that may get keys.
-func (s *spread) idlest(from *load) (near, far *load) {
+// idlest returns the worker with the least in use, of a worker's region, that
+// may get keys.
+func (s *spread) idlest(from *load) *load {
+	var least *load
 	for _, l := range s.loads {
-		switch {
-		case l.worker.Full || l == from:
-		case l.worker.Region == from.worker.Region && (near == nil || s.busier(near, l)):
-			near = l
-		case l.worker.Region != from.worker.Region && (far == nil || s.busier(far, l)):
-			far = l
+		if l.worker.Full || l == from || l.worker.Region != from.worker.Region {
+			continue
+		}
+		if least == nil || s.busier(least, l) {
+			least = l
 		}
 	}
-	return near, far
+	return least
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -46,10 +46,6 @@
 // in docs/design/platform.md).
 var holderRoom = [...]float64{2, 1.0 / 3}
 
-// coldRelief is the part of the slots of a key's next warm holder up to which
-// cold workers are spared the key.
-const coldRelief = 0.6
-
 // Refusal says why no worker was found.
 type Refusal string
 
@@ -198,11 +194,7 @@
 
 // count counts what a caller asks for, once for each request.
 func (p *Placer) count(r Request) {
-	if len(r.Tried) > 0 {
-		return
-	}
-	p.cfg.Demand.Arrived()
-	if r.Keyed {
+	if r.Keyed && len(r.Tried) == 0 {
 		p.cfg.Demand.Keyed(demand.Key{Service: r.Service, Region: p.cfg.Region, Hash: r.Key})
 	}
 }
@@ -269,32 +261,18 @@
 	weight uint64
 }
 
-// holder returns the worker that the table names for a request's key, if it may
-// get the request.
-func (p *Placer) holder(r Request, workers []worker.Worker) (worker.Worker, bool) {
-	if !r.Keyed {
-		return worker.Worker{}, false
-	}
-	id, ok := p.cfg.Holders.Holder(holders.KeyOf(r.Service, p.cfg.Region, r.Key))
-	if !ok {
-		return worker.Worker{}, false
-	}
-	at := slices.IndexFunc(workers, func(w worker.Worker) bool { return w.ID == id })
-	if at < 0 {
-		return worker.Worker{}, false
-	}
-	return workers[at], true
-}
-
 // ranked returns the workers of a region, best first for the request's key: the
 // one that the table names, then those that hashing gives it.
 func (p *Placer) ranked(r Request, workers []worker.Worker, region string) []candidate {
 	list := hashed(workers, region, r.Key)
-	holder, ok := p.holder(r, workers)
+	if !r.Keyed {
+		return list
+	}
+	holder, ok := p.cfg.Holders.Holder(holders.KeyOf(r.Service, p.cfg.Region, r.Key))
 	if !ok {
 		return list
 	}
-	if at := slices.IndexFunc(list, func(c candidate) bool { return c.worker.ID == holder.ID }); at > 0 {
+	if at := slices.IndexFunc(list, func(c candidate) bool { return c.worker.ID == holder }); at > 0 {
 		held := list[at]
 		copy(list[1:at+1], list[:at])
 		list[0] = held
@@ -321,14 +299,10 @@
 	service, _ := s.Routes.Service(r.Service)
 	refusal, held := RefusalNoWorker, 0
 	var considered []Considered
-	list := p.ranked(r, workers, region)
-	for i, c := range list {
+	for _, c := range p.ranked(r, workers, region) {
 		seen := Considered{ID: c.worker.ID, Hall: c.worker.Hall, Region: region, Cold: p.cold(s, c.worker)}
 		if seen.Cold {
 			considered = append(considered, seen)
-			if held == 0 && p.relieved(s, list[i+1:]) {
-				continue // Another has room, and is not slow.
-			}
 			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
 				return p.take(c.worker, considered), RefusalNone
 			}
@@ -358,17 +332,6 @@
 	})
 }
 
-// relieved reports whether the first warm one of the next holders of a key has
-// room enough to do without the cold ones before it.
-func (p *Placer) relieved(s *Snapshot, next []candidate) bool {
-	for _, c := range next {
-		if !p.cold(s, c.worker) {
-			return p.cfg.Loads.Of(c.worker.ID).Busy() < coldRelief*float64(c.worker.Slots)
-		}
-	}
-	return false
-}
-
 func (p *Placer) take(w worker.Worker, considered []Considered) Choice {
 	load := p.cfg.Loads.Of(w.ID)
 	load.Begin()
--- a/coordination/placement/steer.go
+++ b/coordination/placement/steer.go
@@ -37,10 +37,7 @@
 // again: it was counted before.
 func (p *Placer) destination(s *Snapshot, r Request, workers []worker.Worker) destination {
 	placed := shareOut(p.cfg.Region, s.Regions, workers, r)
-	if !s.steers() {
-		return p.held(placed, r, workers)
-	}
-	if len(r.Tried) > 0 {
+	if !s.steers() || len(r.Tried) > 0 {
 		return p.placed(placed)
 	}
 	if placed.home > 0 {
@@ -65,18 +62,6 @@
 	return destination{region: s.region, why: s.reason(p.cfg.Region), away: s.region != p.cfg.Region}
 }
 
-// held is where the table of holders puts a key, else where the balance between
-// regions does. It is asked for only while operators steer nothing: what they
-// bound or move is to be found where hashing puts it.
-func (p *Placer) held(s shared, r Request, workers []worker.Worker) destination {
-	holder, ok := p.holder(r, workers)
-	if !ok || holder.Region == s.region {
-		return p.placed(s)
-	}
-	why := fmt.Sprintf("balance: workers in %s are pressed; %s in %s holds this key", s.region, holder.ID, holder.Region)
-	return destination{region: holder.Region, why: why, away: holder.Region != p.cfg.Region}
-}
-
 // arrive counts a request at the hall whose worker would hold its key in a
 // region, and returns what may steer it out of there.
 func (p *Placer) arrive(s *Snapshot, r Request, workers []worker.Worker, region string) (c steer.Candidate, hall string) {
--- a/internal/gateway/balancewire.go
+++ b/internal/gateway/balancewire.go
@@ -14,7 +14,7 @@
 // toBalance returns a report as it is sent, with the version of the table that
 // the sender has.
 func toBalance(table *holders.Table, r demand.Report) *peerpb.Balance {
-	out := &peerpb.Balance{Epoch: table.Epoch(), Version: table.Version(), Region: r.Region, Arrivals: r.Arrivals}
+	out := &peerpb.Balance{Epoch: table.Epoch(), Version: table.Version(), Region: r.Region}
 	services := make(map[string]*peerpb.ServiceDemand)
 	of := func(service string) *peerpb.ServiceDemand {
 		d, ok := services[service]
@@ -40,7 +40,6 @@
 // fromBalance reads a report.
 func fromBalance(b *peerpb.Balance) demand.Report {
 	r := demand.NewReport(b.GetRegion())
-	r.Arrivals = b.GetArrivals()
 	for _, d := range b.GetDemands() {
 		one := demand.NewReport(b.GetRegion())
 		one.Work[d.GetService()] = demand.Work{Answers: d.GetAnswers(), Time: time.Duration(d.GetAnswerMillis()) * time.Millisecond}
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -58,15 +58,14 @@
 off soak-drain coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if s.Closed[w.Hall] ||' ./platform 'TestSoak$'
 off soak-closed coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if w.Leaving ||' ./platform 'TestSoak$'
 off soak-stop internal/gateway/stop.go 'if err := g.front.Shutdown(ctx); err != nil {' 'if err := g.front.Close(); err != nil {' ./platform 'TestSoak$'
-off shift-budget coordination/balance/spread.go 'shiftPart = 0.025' 'shiftPart = 10.0' ./coordination/balance TestPressedRegionGivesKeysAway
+off holders-stay coordination/balance/balance.go 'if ok && held.worker.Region == l.worker.Region {' 'if ok {' ./coordination/balance TestKeysStayInTheirRegion
 off holders-table coordination/placement/placement.go 'if !r.Keyed {
-		return worker.Worker{}, false' 'if true {
-		return worker.Worker{}, false' ./coordination/placement TestTableOfHolders
+		return list' 'if true {
+		return list' ./coordination/placement TestTableOfHolders
 off holders-kept coordination/balance/balance.go 's.keep(b.held, change)' '' ./coordination/balance TestKeysStayWhenAWorkerJoins
 off holders-gaps state/holders/holders.go 'd.Since > current.version ||' '' ./state/holders 'TestGapsAreNotMerged|TestFollowersConverge'
 off holders-spread internal/gateway/teller.go 'g.balancer.table.Merge(fromBalanced(answer.GetBalanced()))' '' ./internal/gateway TestVMsFollowOneTable
 off loads-shared internal/gateway/teller.go 'g.hearLoads(ask.GetLoads())' '' ./internal/gateway TestVMsShareTheLoadOfWorkers
-off cold-relief coordination/placement/placement.go 'if held == 0 && p.relieved(s, list[i+1:]) {' 'if false && p.relieved(s, list[i+1:]) {' ./coordination/placement TestColdWorkersAreSpared
 off losses-by-cause transport/ingress/losses.go 'case q.newKey:' 'case false:' ./transport/ingress TestLossesByCause
 off usable-slots coordination/capacity/pool.go 'if p.inUse >= usable || len(p.order) == 0 {' 'if len(p.order) == 0 {' ./coordination/capacity TestNeverMoreThanUsable
 off lending-headroom coordination/capacity/grant.go 'usable - headroom - p.inUse' 'usable - 0*headroom - p.inUse' ./coordination/capacity TestNeverMoreThanUsable
--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -10,7 +10,6 @@
 // # Usage
 //
 //	meter := demand.NewMeter("north")
-//	meter.Arrived()
 //	meter.Keyed(demand.Key{Service: "lookup", Region: "north", Hash: 17})
 //	meter.Served("lookup", 120*time.Millisecond)
 //	report := meter.Take()
@@ -40,8 +39,6 @@
 type Report struct {
 	// Region is that of the callers.
 	Region string
-	// Arrivals are all requests of callers.
-	Arrivals uint32
 	// Keys are the requests that have a key, those among them that were
 	// refused included.
 	Keys map[Key]uint32
@@ -56,8 +53,8 @@
 
 // Bounds of one report.
 const (
-	// MaxKeys bounds the keys; requests with others are counted as arrivals
-	// only. At 12 bytes a key it is 12 KB, three times a second at most.
+	// MaxKeys bounds the keys; requests with others are not counted. At 10
+	// bytes a key it is 10 KB, three times a second at most.
 	MaxKeys = 1024
 	// MaxServices bounds the services.
 	MaxServices = 1024
@@ -65,7 +62,6 @@
 
 // Join adds another report of the same region's callers.
 func (r *Report) Join(o Report) {
-	r.Arrivals += o.Arrivals
 	for key, n := range o.Keys {
 		r.keyed(key, n)
 	}
@@ -95,13 +91,6 @@
 // NewMeter returns a meter of a VM whose callers are in a region.
 func NewMeter(region string) *Meter { return &Meter{report: NewReport(region)} }
 
-// Arrived counts a request.
-func (m *Meter) Arrived() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.report.Arrivals++
-}
-
 // Keyed counts a request that has a key.
 func (m *Meter) Keyed(key Key) {
 	m.mu.Lock()
