--- a/coordination/balance/balance.go
+++ b/coordination/balance/balance.go
@@ -6,10 +6,10 @@
 //
 // Hashing gives each key a worker, but not each worker an even part of the
 // requests: with some ten keys to a worker the busiest one gets up to twice the
-// mean. A VM cannot correct that alone, since the others would send
-// the same keys to another worker, and both would work on them slowly. So one VM
-// of the fleet runs a Balancer: it adds up what all VMs count, and writes the
-// keys that it moves to a table that all of them follow (package state/holders).
+// mean. A VM cannot correct that alone, since the others would send the same keys
+// to another worker, and both would work on them slowly. So one VM of the fleet
+// runs a Balancer: it adds up what all VMs count, and writes the keys that it
+// moves to a table that all of them follow (package state/holders).
 //
 // A key is moved only away from a worker that is pressed, to one of its region
 // that has room: a worker that holds a key for the first time is slow with it.
--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -36,17 +36,18 @@
 	meter    *demand.Meter
 	table    *holders.Table
 	decider  *balance.Balancer
-	mu       sync.Mutex
-	own      uint64 // the epoch of this VM's own decisions, 0 for none
-	decided  time.Time
-	avoided  map[string]time.Time
+	avoided  *avoided
 	fetching sync.Mutex
+
+	mu      sync.Mutex
+	own     uint64 // the epoch of this VM's own decisions, 0 for none
+	decided time.Time
 }
 
 func newBalancer(region string) *balancer {
 	table := holders.NewTable()
 	return &balancer{
-		meter: demand.NewMeter(region), table: table, avoided: make(map[string]time.Time),
+		meter: demand.NewMeter(region), table: table, avoided: newAvoided(),
 		decider: balance.New(balance.Config{Table: table, Now: time.Now}),
 	}
 }
@@ -66,35 +67,18 @@
 			continue
 		}
 		if err := g.reportDemand(ctx, m, report); err != nil {
-			g.balancer.avoid(m.ID, time.Now())
+			g.balancer.avoided.add(m.ID, time.Now())
 			g.log.Info("balance: the VM that decides does not answer", "peer", m.ID, "error", err.Error())
 		}
 	}
 }
 
-func (b *balancer) avoid(id string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.avoided[id] = now.Add(avoidFor)
-}
-
-func (b *balancer) avoids(id string, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	until, ok := b.avoided[id]
-	if ok && !now.Before(until) {
-		delete(b.avoided, id)
-		return false
-	}
-	return ok
-}
-
 // balancerVM returns the VM of the fleet that decides; it may be this one.
 func (g *Gateway) balancerVM(now time.Time) membership.Member {
 	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
 	ids := []string{g.cfg.VM}
 	for _, m := range g.live() {
-		if m.ID != g.cfg.VM && !g.balancer.avoids(m.ID, now) {
+		if m.ID != g.cfg.VM && !g.balancer.avoided.has(m.ID, now) {
 			candidates[m.ID] = m
 			ids = append(ids, m.ID)
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,6 +5,12 @@
 
 import "github.com/ryehill/ryehill/state/holders"
 
+// FromBalanced and FromBalance read what peers send, for tests.
+var (
+	FromBalanced = fromBalanced
+	FromBalance  = fromBalance
+)
+
 // Lapsed is lapsed, for tests.
 var Lapsed = lapsed
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -16,10 +16,14 @@
 // hearLoads takes in what workers told other VMs of the region. One VM sends a
 // worker too few requests to know how busy it is.
 func (g *Gateway) hearLoads(told map[string]*peerpb.WorkerLoad) {
-	if len(told) > maxLoads {
+	s := g.snapshot.Load()
+	if s == nil || len(told) > maxLoads {
 		return
 	}
 	for id, l := range told {
+		if _, ok := s.Workers.Get(id); !ok {
+			continue
+		}
 		word := worker.Word{Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond}
 		g.loads.Of(id).Heard(word)
 	}
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -21,8 +21,6 @@
 	// askGrace is how much longer the answer may take before another VM is
 	// asked.
 	askGrace = 400 * time.Millisecond
-	// avoidFor is for how long a VM that did not answer is not asked.
-	avoidFor = 3 * time.Second
 	// askedFor is for how long after a question a VM goes on watching.
 	askedFor = 2 * time.Second
 	// noWatcher is the wait before the next look for a VM to ask.
@@ -39,11 +37,11 @@
 	asked   time.Time // when another VM last asked this one
 	chosen  bool      // this VM is its own first choice
 	wake    chan struct{}
-	avoided map[string]time.Time
+	avoided *avoided
 }
 
 func newWatchers() *watchers {
-	return &watchers{wake: make(chan struct{}), avoided: make(map[string]time.Time)}
+	return &watchers{wake: make(chan struct{}), avoided: newAvoided()}
 }
 
 // watches reports whether this VM watches the store.
@@ -83,30 +81,13 @@
 	w.wake = make(chan struct{})
 }
 
-func (w *watchers) avoid(id string, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.avoided[id] = now.Add(avoidFor)
-}
-
-func (w *watchers) avoids(id string, now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	until, ok := w.avoided[id]
-	if ok && !now.Before(until) {
-		delete(w.avoided, id)
-		return false
-	}
-	return ok
-}
-
 // watcher returns the VM of this region that is to be asked for news; it may be
 // this one.
 func (g *Gateway) watcher(now time.Time) membership.Member {
 	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
 	ids := []string{g.cfg.VM}
 	for _, m := range g.live() {
-		if m.ID != g.cfg.VM && g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoids(m.ID, now) {
+		if m.ID != g.cfg.VM && g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoided.has(m.ID, now) {
 			candidates[m.ID] = m
 			ids = append(ids, m.ID)
 		}
@@ -131,7 +112,7 @@
 			continue
 		}
 		if err := g.askNews(ctx, peer.Target{VM: m.ID, Address: m.Peer}, askHold); err != nil {
-			g.watchers.avoid(m.ID, now)
+			g.watchers.avoided.add(m.ID, now)
 			g.log.Info("watchers: one does not answer", "peer", m.ID, "error", err.Error())
 		}
 	}
--- a/state/holders/holders.go
+++ b/state/holders/holders.go
@@ -155,11 +155,15 @@
 	}
 }
 
-// Since returns what a follower lacks that has a version of an epoch.
+// Since returns what a follower lacks that has a version of an epoch. It lacks
+// nothing if it has a newer version of the same one.
 func (t *Table) Since(epoch, version uint64) Delta {
 	c := t.current.Load()
 	d := Delta{Epoch: c.epoch, Since: version, At: c.version, Holders: make(Change)}
-	d.Full = epoch != c.epoch || version < c.forgotten || version > c.version
+	if epoch == c.epoch && version >= c.version {
+		return d
+	}
+	d.Full = epoch != c.epoch || version < c.forgotten
 	if d.Full {
 		d.Since = 0
 	}
--- a/state/holders/holders_test.go
+++ b/state/holders/holders_test.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// A follower that is ahead of the one it asks is told nothing, and not all again.
+func TestNewerFollowersAreToldNothing(t *testing.T) {
+	decider, relay := holders.NewTable(), holders.NewTable()
+	decider.Begin(1)
+	decider.Change(holders.Change{1: "w1"})
+	relay.Merge(decider.Since(0, 0))
+	decider.Change(holders.Change{2: "w2"})
+	if d := relay.Since(decider.Epoch(), decider.Version()); d.Full || len(d.Holders) > 0 {
+		t.Errorf("told %d entries, full %v", len(d.Holders), d.Full)
+	}
+}
+
 func ExampleTable() {
 	table := holders.NewTable()
 	table.Begin(1)
