--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -80,7 +80,7 @@
 off stopping-waits-on transport/ingress/try.go 'if q.handler.stopping.Load() {' 'if false && q.handler.stopping.Load() {' ./transport/ingress TestTimes
 off unsent-is-free coordination/retry/retry.go 'case t.Home, t.Unsent && t.Number < maxUnsent:' 'case t.Home:' ./transport/ingress TestUnreachableWorkersCostNoTry
 off cold-owner coordination/placement/cold.go 'if len(owner) == 0 || owner[0] != c.cfg.VM {' 'if len(owner) == 0 {' ./coordination/placement TestColdRateOfAllVMs
-off cold-isolated coordination/placement/cold.go 'if 2*len(live) >= listed {' 'if true || 2*len(live) >= listed {' ./coordination/placement TestColdRateOfAllVMs
+off cold-isolated coordination/placement/cold.go 'if 2*len(live) < listed {' 'if false && 2*len(live) < listed {' ./coordination/placement 'TestColdRateOfAllVMs|TestColdRateOfManyThatAreAlone'
 off closed-halls coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if w.Leaving ||' ./coordination/placement TestWhoGetsNothing
 off homes coordination/placement/placement.go 'r.Allows != nil && !r.Allows(w.Region) {' 'r.Allows != nil && r.Allows == nil {' ./coordination/placement TestRegionsShare
 off split-corrects coordination/placement/split.go 'if ahead[own] > splitSlack {' 'if false && ahead[own] > splitSlack {' ./coordination/placement TestSplit
