fleet: a closed connection of the simulated network sends for a second at most

Cause: two ends that both write and do not read never drained, so close waited for good, and with it every call that holds a session's lock over a close. A TCP close does not wait, so the daemons are not concerned.

--- a/internal/fleet/conn.go
+++ b/internal/fleet/conn.go
@@ -15,6 +15,9 @@
 	// pieceBytes and maxPieces bound what is on its way in one direction.
 	pieceBytes = 16 << 10
 	maxPieces  = 256
+	// longestDrain bounds how long a closed connection still sends: an end
+	// that reads nothing must not keep the other one from closing.
+	longestDrain = time.Second
 )
 
 // conn delays what passes in both directions, keeping its order.
@@ -203,7 +206,7 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		go func() {
-			for len(c.out) > 0 {
+			for end := time.Now().Add(longestDrain); len(c.out) > 0 && time.Now().Before(end); {
 				time.Sleep(c.delay/2 + time.Millisecond)
 				if c.network.isCut(c.from, c.to) {
 					break
