gateway, metrics: logs and metrics tell how old knowledge is, and what peers were told in whole

Cause: the record of a request tells the age of the oldest knowledge it rests on, but nothing told which kind was old, at which VM, since when and after which failure; and nothing told how much a VM sends its peers. Change: a line when knowledge of a kind is older than a change may take and one when it is young again, with the last failures of store and peer; a line and counters for whole kinds told to peers. No logic is changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,7 @@
 	away      absence
 	judge     *outlier.Judge
 	watchers  *watchers
+	knowledge *knowledge
 	placer    *placement.Placer
 	balancer  *balancer
 	failed    chan error
@@ -115,7 +116,7 @@
 		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
-		failed: make(chan error, 1), watchers: newWatchers(),
+		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -249,7 +250,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.ingress.LogLosses}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -134,6 +134,7 @@
 	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: ask}}
 	reply, err := g.peers.Call(ctx, from, message)
 	g.cfg.Metrics.PeerCall("sync", err)
+	g.knowledge.notePeer(err)
 	if err != nil {
 		return err
 	}
@@ -183,6 +184,7 @@
 	for {
 		changed := g.replica.Changed()
 		if answer := g.synced(ask); hasNews(answer) || time.Since(asked) >= hold {
+			g.knowledge.noteCopies(answer.GetDeltas())
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
 			answer.SparedMillis = g.sparedMillis()
 			if ask.GetHoldMillis() > 0 {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -51,6 +51,7 @@
 		var err error
 		news, err = g.follow(ctx, kind, hold, forgotten)
 		forgotten = errors.Is(err, ErrForgotten)
+		g.knowledge.noteStore(kind, err)
 		switch {
 		case err == nil && failures > 0:
 			g.log.Info("store: answers again", "kind", kind, "failures", failures)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,8 @@
 	revision  prometheus.Gauge
 	members   *prometheus.GaugeVec
 	keysMoved prometheus.Counter
+	knowledge *prometheus.GaugeVec
+	copies    *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -63,6 +65,8 @@
 		lent:      gauge(r, "lent_slots", "Slots lent to other VMs and not in use.", "service"),
 		reportAge: gauge(r, "report_age_seconds", "Age of the oldest load report of an owned upstream.", "service"),
 		members:   gauge(r, "members", "Known VMs by state.", "state"),
+		knowledge: gauge(r, "knowledge_age_seconds", "Time since the store last confirmed what is believed, by kind.", "kind"),
+		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
 		}),
@@ -135,6 +139,18 @@
 // KeysMoved counts keys that were moved from pressed workers.
 func (s *Set) KeysMoved(n int) { s.keysMoved.Add(float64(n)) }
 
+// KnowledgeAge sets how long ago the store last confirmed what is believed of a
+// kind.
+func (s *Set) KnowledgeAge(kind string, age time.Duration) {
+	s.knowledge.WithLabelValues(kind).Set(age.Seconds())
+}
+
+// PeerCopies counts whole kinds that were told to peers, and their bytes.
+func (s *Set) PeerCopies(copies, bytes int) {
+	s.copies.WithLabelValues("copies").Add(float64(copies))
+	s.copies.WithLabelValues("bytes").Add(float64(bytes))
+}
+
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
