--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -125,6 +125,11 @@
 	Log          logr.Logger
 	Metrics      *metrics.Set
 
+	// Listen opens the listener for peers, Dial connections to them. Default:
+	// TCP.
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+
 	// StaleAfter is the age at which a VM calls the store itself, if no peer
 	// has confirmed what it believes. Default: Bounds.ApplyWithin less what a
 	// call and the way of a request may take.
@@ -147,6 +152,9 @@
 )
 
 func (c *Config) setDefaults() {
+	if c.Listen == nil {
+		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	if c.StaleAfter <= 0 {
 		c.StaleAfter = max(c.Bounds.ApplyWithin-applyMargin, leastStale)
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -37,3 +37,12 @@
 
 // Busy returns how many requests this VM takes a worker to hold.
 func (g *Gateway) Busy(worker string) float64 { return g.loads.Of(worker).Busy() }
+
+// Version returns the version of the routes in force, 0 before there are any.
+func (g *Gateway) Version() uint64 {
+	s := g.snapshot.Load()
+	if s == nil {
+		return 0
+	}
+	return s.Routes.Version()
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -42,7 +42,10 @@
 	revision uint64
 	kinds    map[string]map[string]object.Object
 	log      map[string][]object.Event
-	changed  chan struct{}
+	// forgotten is the revision up to which the history is dropped.
+	forgotten uint64
+	deaf      bool
+	changed   chan struct{}
 }
 
 func newMemoryStore() *memoryStore {
@@ -63,10 +66,31 @@
 	}
 	s.kinds[kind][name] = o
 	s.log[kind] = append(s.log[kind], object.Event{Object: o})
+	s.wake()
+}
+
+// wake lets the watches look again, unless they are to hear nothing.
+func (s *memoryStore) wake() {
+	if s.deaf {
+		return
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// dropHistory makes changes of which no watch hears, and then forgets them.
+func (s *memoryStore) dropHistory(changes func()) {
+	s.mu.Lock()
+	s.deaf = true
+	s.mu.Unlock()
+	changes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf, s.forgotten = false, s.revision
+	clear(s.log)
+	s.wake()
+}
+
 // get returns an object as it is.
 func (s *memoryStore) get(kind, name string) object.Object {
 	s.mu.Lock()
@@ -85,13 +109,13 @@
 	s.revision++
 	delete(s.kinds[kind], name)
 	s.log[kind] = append(s.log[kind], object.Event{Object: object.Object{Name: name, Revision: s.revision}, Gone: true})
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // door is one VM's way to the store.
 type door struct {
 	store *memoryStore
+	link  *link // Calls wait for it; nil is none.
 
 	mu     sync.Mutex
 	shut   bool
@@ -190,6 +214,15 @@
 	if shut {
 		return errAway
 	}
+	if d.link == nil {
+		return nil
+	}
+	const question = 300 // Bytes.
+	wait := d.link.reserve(question)
+	time.Sleep(min(wait, patience))
+	if wait > patience {
+		return errAway
+	}
 	return nil
 }
 
@@ -220,8 +253,11 @@
 				events = append(events, e)
 			}
 		}
-		at, changed := d.store.revision, d.store.changed
+		at, changed, forgotten := d.store.revision, d.store.changed, d.store.forgotten
 		d.store.mu.Unlock()
+		if since < forgotten {
+			return nil, 0, gateway.ErrForgotten
+		}
 		if len(events) > 0 {
 			return events, at, nil
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 	g.upstreams = upstream.New(upstream.Config{
 		DialTimeout: workerDial, IdleFor: workerIdle, OnceIdle: onceIdle, Unanswered: workerUnanswered, Dialect: cfg.Dialect,
 	})
-	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer})
+	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
 	cold := placement.NewCold(placement.ColdConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: time.Now})
 	g.balancer = newBalancer(g.region())
 	g.placer = placement.New(placement.Config{
@@ -193,7 +193,7 @@
 		return err
 	}
 	var err error
-	g.peerSide, err = net.Listen("tcp", g.cfg.Peer)
+	g.peerSide, err = g.cfg.Listen(g.cfg.Peer)
 	return errors.Wrap(err, "gateway: peer listener")
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,6 +31,9 @@
 // staleAfter is the age at which the VMs of these tests call the store.
 const staleAfter = 1200 * time.Millisecond
 
+// applyWithin is within what time a change must be in force.
+const applyWithin = 2 * time.Second
+
 // vm is one gateway under test.
 type vm struct {
 	*gateway.Gateway
@@ -94,7 +97,7 @@
 	cfg := gateway.Config{
 		Fleet: "test", VM: name, Hall: hall, Halls: halls,
 		Ingress: v.front, Ready: entry, Directory: entry, Peer: ip + ":8003", MetricsAddress: ip + ":8004",
-		Seeds: slices.Clone(f.seeds), Bounds: gateway.Bounds{Grace: 3 * time.Second, RetryRatio: 0.1, MaxTTL: 5 * time.Second, ApplyWithin: 2 * time.Second},
+		Seeds: slices.Clone(f.seeds), Bounds: gateway.Bounds{Grace: 3 * time.Second, RetryRatio: 0.1, MaxTTL: 5 * time.Second, ApplyWithin: applyWithin},
 		Store: v.door, Codec: codec{}, Dialect: dialect{}, Log: logr.Discard(), Metrics: metrics.New(),
 		EntryHandler:  func(*gateway.Gateway) http.Handler { return http.NotFoundHandler() },
 		ProbeInterval: 100 * time.Millisecond,
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -173,6 +173,24 @@
 	}
 }
 
+// A list that is read in pages may hold objects that are newer than the revision
+// up to which it is complete. The watch that follows brings them again, and they
+// are news to a peer then, though not to the replica that has the list.
+func TestListThatRanAhead(t *testing.T) {
+	old, newer := object.Object{Name: "a", Revision: 8}, object.Object{Name: "a", Revision: 12}
+	watcher, peer := object.NewReplica(), object.NewReplica()
+	peer.Reset(kind, []object.Object{old}, 10)
+	watcher.Reset(kind, []object.Object{newer}, 10)
+	watcher.Apply(kind, 10, []object.Event{{Object: newer}}, 12)
+	d, ok := watcher.Since(kind, 10, true)
+	if !ok || !peer.Merge(d) {
+		t.Fatalf("the peer heard nothing new: %+v", d)
+	}
+	if held := peer.Objects(kind); held[0].Revision != newer.Revision {
+		t.Errorf("the peer is complete up to 12 and holds %+v", held)
+	}
+}
+
 func TestDeltas(t *testing.T) {
 	Convey("A replica that knows nothing", t, func() {
 		r := object.NewReplica()
