gateway: large parts of answers follow each other

Cause: a peer that waits for a large part of an answer, such as the names of very many workers, was told only at the end of its question (0.35 s) or at the next change; with two places and 28 peers that is up to 5 s, after which each reads the store. Change: a place that is given back wakes those that wait. The table of holders is bounded by itself, so that waiting for it holds no place.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -233,6 +233,13 @@
 	return m != nil && m.Share == 60*share.Percent
 }
 
+// begun reports whether a move has taken its first step. The VM may not have heard
+// of it yet.
+func begun(op *fleet.Operator, id string) bool {
+	m := op.Move(context.Background(), id)
+	return m != nil && m.Share > 0
+}
+
 // ranIn returns how many requests of an origin ran in a hall.
 func ranIn(f *fleet.Fleet, hall, origin, service string) int {
 	total := 0
@@ -260,7 +267,7 @@
 	}()
 	go func() { own <- loadgen.Run(context.Background(), load(f, 1, 8*time.Second, reads(50))) }()
 	until(t, "both moves have begun", func() bool {
-		return op.Move(context.Background(), ids[0]).Share > 0 && op.Move(context.Background(), ids[1]).Share > 0
+		return begun(op, ids[0]) && begun(op, ids[1])
 	})
 	killed := 0
 	for id := range f.Workers() {
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -4,12 +4,19 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/worker"
 )
 
 // answerOf returns an answer with a delta of one kind, and with its age.
@@ -24,7 +31,7 @@
 // confirms nothing.
 func TestLargePartsOfAnswersAreBounded(t *testing.T) {
 	const small, large, tooLarge = 1 << 10, 100 << 10, 1 << 20
-	bound := gateway.BoundCopies()
+	bound, _ := gateway.BoundCopies()
 	told := func(bytes int) (bool, func()) {
 		answer := answerOf(kindWorkers, bytes)
 		sent := bound(answer)
@@ -54,7 +61,7 @@
 
 // The same bound holds for the table of holders.
 func TestLargeTablesAreBounded(t *testing.T) {
-	bound := gateway.BoundCopies()
+	_, bound := gateway.BoundCopies()
 	tables := 0
 	for range 3 {
 		answer := &peerpb.Synced{Balanced: &peerpb.Balanced{Keys: make([]uint64, 4096)}}
@@ -95,3 +102,41 @@
 	})
 	f.within(time.Second, "the list", func() bool { return v.door.count("list "+kindWorkers) > before })
 }
+
+// Peers that wait for a large part are told as soon as a place is free, not only
+// when their question has been held for long enough.
+func TestLargePartsFollowEachOther(t *testing.T) {
+	f := newFleet(t)
+	const workers, entry, askers = 400, 300, 24 // 120 KB and more.
+	for i := range workers {
+		f.store.put(kindWorkers, fmt.Sprintf("w%d", i), worker.Worker{Service: "s", Hall: "north-a", Slots: 4, Address: strings.Repeat("1", entry)})
+	}
+	v := f.start("a", "north-a", nil)
+	f.until("it serves", v.ready)
+	// The askers lack nothing but the workers.
+	others := make(map[string]uint64)
+	for _, kind := range []string{kindConfig, kindClosed, kindMembers, kindTraffic} {
+		others[kind] = f.store.atRevision() + 1
+	}
+	var told atomic.Int64
+	var asking sync.WaitGroup
+	begun := time.Now()
+	for range askers {
+		asking.Go(func() {
+			for time.Since(begun) < patience {
+				answer, sent := v.TellSlowly(context.Background(), &peerpb.Sync{HoldMillis: 350, Since: others})
+				whole := slices.ContainsFunc(answer.GetDeltas(), func(d *peerpb.Delta) bool { return d.GetKind() == kindWorkers })
+				time.Sleep(10 * time.Millisecond)
+				sent()
+				if whole {
+					told.Add(1)
+					return
+				}
+			}
+		})
+	}
+	asking.Wait()
+	if took := time.Since(begun); told.Load() != askers || took > time.Second {
+		t.Errorf("%d of %d told after %s, want all within a second", told.Load(), askers, took)
+	}
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -53,8 +53,12 @@
 	return s.Routes.Version()
 }
 
-// BoundCopies returns what bounds the large parts of a VM's answers.
-func BoundCopies() func(*peerpb.Synced) (sent func()) { return newCopies().bound }
+// BoundCopies returns what bounds the large parts of a VM's answers: deltas, and
+// tables.
+func BoundCopies() (deltas, tables func(*peerpb.Synced) (sent func())) {
+	c := newCopies()
+	return c.bound, c.boundTable
+}
 
 // Lacks returns what this VM tells one that asks of a kind.
 func (g *Gateway) Lacks(ask *peerpb.Sync, kind string) (object.Delta, bool) {
@@ -64,6 +68,12 @@
 // Hear takes in what a peer tells of one kind.
 func (g *Gateway) Hear(d object.Delta) { g.mergeDelta("peer", d) }
 
+// TellSlowly answers a VM that asks for news, and leaves it to the test when the
+// answer has been sent.
+func (g *Gateway) TellSlowly(ctx context.Context, ask *peerpb.Sync) (answer *peerpb.Synced, sent func()) {
+	return g.tell(ctx, ask)
+}
+
 // Tell answers a VM that asks for news.
 func (g *Gateway) Tell(ctx context.Context, ask *peerpb.Sync) *peerpb.Synced {
 	answer, sent := g.tell(ctx, ask)
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -206,22 +206,20 @@
 	deadline := time.NewTimer(hold)
 	defer deadline.Stop()
 	for {
-		changed := g.replica.Changed()
+		changed, freed := g.replica.Changed(), g.copies.freed()
 		answer, sent := g.synced(ask)
 		if hasNews(answer) || time.Since(asked) >= hold {
 			g.knowledge.noteCopies(answer.GetDeltas())
 			answer.HeldMillis = uint32(time.Since(asked).Milliseconds())
-			answer.SparedMillis = g.sparedMillis()
-			if ask.GetHoldMillis() > 0 {
-				answer.Loads, answer.LoadsMark = g.loadsAfter(ask.GetLoadsMark())
-			}
-			return answer, sent
+			tableSent := g.addShared(answer, ask)
+			return answer, func() { sent(); tableSent() }
 		}
 		sent()
 		select {
 		case <-ctx.Done():
 			return &peerpb.Synced{}, func() {}
 		case <-changed:
+		case <-freed:
 		case <-deadline.C:
 		}
 	}
@@ -251,10 +249,20 @@
 			answer.Deltas = append(answer.Deltas, toDelta(d))
 		}
 	}
+	return answer, g.copies.bound(answer)
+}
+
+// addShared adds to an answer what the VMs of a region share beside the store's
+// objects. The returned function is to be called once the answer has been sent.
+func (g *Gateway) addShared(answer *peerpb.Synced, ask *peerpb.Sync) (sent func()) {
+	answer.SparedMillis = g.sparedMillis()
+	if ask.GetHoldMillis() > 0 {
+		answer.Loads, answer.LoadsMark = g.loadsAfter(ask.GetLoadsMark())
+	}
 	if b := ask.GetBalance(); b != nil {
 		answer.Balanced = toBalanced(g.balancer.table.Since(b.GetEpoch(), b.GetVersion()))
 	}
-	return answer, g.copies.bound(answer)
+	return g.copies.boundTable(answer)
 }
 
 // lacks returns what a VM lacks of a kind.
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -90,8 +90,9 @@
 off replica-list-keeps-history state/object/kind.go 'if !k.known {
 		k.history' 'if true {
 		k.history' ./state/object TestDeltas
+off large-parts-follow internal/gateway/teller.go 'g.replica.Changed(), g.copies.freed()' 'g.replica.Changed(), make(chan struct{})' ./internal/gateway TestLargePartsFollow
 off loads-told-once internal/gateway/loads.go 'after = mark.GetNumber()' '' ./internal/gateway TestLoadsAreToldOnce
-off large-parts-bounded internal/gateway/copies.go 'case c.slots <- struct{}{}:' 'case <-make(chan struct{}):' ./internal/gateway TestLargeParts
+off large-parts-bounded internal/gateway/copies.go 'if c.underWay >= largeAtOnce {' 'if false {' ./internal/gateway TestLargeParts
 off doubt-leads-to-a-list internal/gateway/watch.go 'if !known || list || g.replica.Doubted(kind) {' 'if !known || list {' ./internal/gateway TestDoubtedKindIsRead
 off replica-newer-than-list state/object/kind.go 'if e.Revision <= d.At {' 'if true {' ./state/object TestListThatRanAhead
 off listed-shows-what-is-missing state/object/kind.go 'k.doubted = true' '' ./state/object TestDeltas
