loopback: each process of the tests has IP numbers of its own

Its output names the condition that did not come within 30 s, and nothing of what was put out instead, so the cause cannot be read from it. In trials that ran the same session seven at a time, stop and freeze failed together once: two processes whose ids are equal modulo 100 had the same IP numbers and spoke to each other's VMs. An await that never matches now prints what was put out.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,14 @@
 	kindPlatform = iota
 	kindWorker
 	kindVM
+	kinds
+)
+
+const (
+	// numbersOfKind is how many third numbers of addresses a kind has.
+	numbersOfKind = 16
+	// fleetsAtOnce is how many fleets of one process have addresses of their own.
+	fleetsAtOnce = 5
 )
 
 const (
@@ -96,8 +103,7 @@
 func Start(plan Plan, options Options) (*Fleet, error) {
 	f := &Fleet{
 		plan: plan, options: options,
-		// Fleets of several processes at once stay apart by the process id.
-		base:     16 + (os.Getpid()*7+int(fleets.Add(1)))%200,
+		base:     int(fleets.Add(1)) % fleetsAtOnce * kinds * numbersOfKind,
 		platform: standin.NewPlatform(standin.PlatformConfig{}),
 		workers:  make(map[string]*standin.Upstream),
 		placed:   make(map[string]placed),
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/ryehill/ryehill/internal/loopback"
 	"github.com/ryehill/ryehill/state/spec"
 )
 
@@ -115,10 +116,12 @@
 	return netip.AddrFrom4([4]byte{10, byte(hallIndex + 1), byte(n >> 8), byte(n)})
 }
 
-// addresses of one fleet: the platform, workers and VMs have IP numbers of
-// their own in 127.0.0.0/8, under a base that differs for each fleet.
+// address returns the IP number of a part of the fleet. The platform, workers and
+// VMs have numbers of their own in the network of this process, under a base that
+// differs for each of the fleets that it runs at once.
 func (f *Fleet) address(kind, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", f.base, kind*16+n/200, 1+n%200)
+	const last = 200 // of the numbers that differ in the last part only
+	return fmt.Sprintf("%s%d.%d", loopback.Network(), f.base+kind*numbersOfKind+n/last, 1+n%last)
 }
 
 func (p *Plan) fleetObject() spec.Object {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/internal/loopback"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/worker"
@@ -83,7 +83,7 @@
 // be taken, not even by an outgoing connection.
 func newIP() string {
 	n := started.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 91+os.Getpid()%90, n/250, 1+n%250)
+	return fmt.Sprintf("%s%d.%d", loopback.Network(), n/250, 1+n%250)
 }
 
 var halls = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}
--- a/internal/program/session_commands_test.go
+++ b/internal/program/session_commands_test.go
@@ -57,20 +57,49 @@
 }
 
 // await PATTERN PROGRAM ARGS: runs a program until its output matches, or with
-// ! until it no longer does.
+// ! until it no longer does. If it never does, the log has what was put out.
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
 	pattern := regexp.MustCompile("(?s)" + args[0])
 	var out []byte
+	var seen outputs
+	matched := false
+	defer func() {
+		if !matched {
+			ts.Logf("what was put out instead, first of all:\n%s", seen.String())
+		}
+	}()
 	until(ts, strings.Join(args, " "), func() bool {
 		cmd := exec.Command(args[1], args[2:]...)
 		cmd.Dir = of(ts).dir
 		cmd.Env = append(os.Environ(), "GORACE="+noExitSleep, "RYEHILL_TOKEN="+ts.Getenv("RYEHILL_TOKEN"), "RYEHILL_OPERATOR="+ts.Getenv("RYEHILL_OPERATOR"))
 		out, _ = cmd.CombinedOutput()
-		return pattern.Match(out) != neg
+		seen.add(string(out))
+		matched = pattern.Match(out) != neg
+		return matched
 	})
 	_, _ = ts.Stdout().Write(out)
 }
 
+// maxOutputs bounds the outputs that are kept of one await.
+const maxOutputs = 40
+
+// outputs are the first outputs of a program that is run again and again, without
+// those that repeat the one before.
+type outputs struct {
+	last string
+	kept []string
+}
+
+func (o *outputs) add(out string) {
+	if out == o.last || len(o.kept) >= maxOutputs {
+		return
+	}
+	o.last = out
+	o.kept = append(o.kept, time.Now().Format(time.TimeOnly+".000")+"\n"+out)
+}
+
+func (o *outputs) String() string { return strings.Join(o.kept, "\n") }
+
 // call VM METHOD PATH [Name:value...] [body=text]: sends one request to a VM
 // and prints what a caller sees of it. SERVICE/x stands for /v1/run/SERVICE/x.
 func cmdCall(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/program/session_test.go
+++ b/internal/program/session_test.go
@@ -21,6 +21,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/urfave/cli/v3"
 
+	"github.com/ryehill/ryehill/internal/loopback"
 	"github.com/ryehill/ryehill/internal/program"
 	"github.com/ryehill/ryehill/state/spec"
 )
@@ -55,7 +56,7 @@
 			// Each session has IP numbers of its own, so that none of its
 			// fixed ports can be taken.
 			n := int(sessions.Add(1))
-			prefix := fmt.Sprintf("127.%d.%d.", 100+os.Getpid()%100, n)
+			prefix := fmt.Sprintf("%s%d.", loopback.Network(), n)
 			env.Setenv("NET", prefix)
 			s := &session{net: prefix, procs: make(map[string]*exec.Cmd), dir: env.WorkDir}
 			env.Values[sessionKey{}] = s
