peer: a VM that greets is dialled at once

After failed dials a peer is not dialled for up to 4.5 s (3 s and half of it by chance), also when it has come back and has itself opened a session. So a VM that was restarted or cut off can ask others, but others cannot ask or probe it, or carry requests to its workers, for that time. Ruled out: a shorter longest wait; it would dial dead VMs more often. Change: an accepted hello ends the wait. The wait has a lock of its own, since a dial holds the session's for up to 3 s. Tests: TestPeerThatGreetsIsReachedAtOnce failed first ("not tried again yet", 3 of 3).

--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -25,7 +25,6 @@
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/hashicorp/yamux"
@@ -40,6 +39,9 @@
 	// ErrUnreachable reports that no session could be opened, so that no
 	// byte of the message reached the peer.
 	ErrUnreachable = errors.New("peer: unreachable")
+	// ErrNotYet reports a peer that is not dialled again so soon after it could
+	// not be reached.
+	ErrNotYet = errors.New("peer: not tried again yet")
 	// ErrHello reports a peer that was refused at the hello.
 	ErrHello = errors.New("peer: hello refused")
 	// ErrBusy reports too many sessions or streams.
@@ -56,8 +58,6 @@
 	writeTimeout     = 5 * time.Second
 	streamOpen       = 5 * time.Second
 	firstMessage     = 5 * time.Second
-	firstRetry       = 100 * time.Millisecond
-	longestRetry     = 3 * time.Second
 	acceptBacklog    = 256
 	streamWindow     = 512 << 10
 	sessionsPerSweep = 8
@@ -118,14 +118,12 @@
 
 // session is the outgoing session to one VM.
 type session struct {
-	mu       sync.Mutex // held while dialling
-	address  string
-	mux      *yamux.Session
-	peer     Identity
-	used     time.Time
-	backoff  *backoff.ExponentialBackOff
-	notUntil time.Time
-	failure  error
+	mu      sync.Mutex // held while dialling
+	address string
+	mux     *yamux.Session
+	peer    Identity
+	used    time.Time
+	pause   *pause
 }
 
 // New returns a manager without sessions.
@@ -257,14 +255,22 @@
 	if len(m.sessions) >= maxSessions {
 		return nil, errors.Mark(errors.Wrapf(ErrBusy, "%d sessions, %s", maxSessions, t.VM), ErrUnreachable)
 	}
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = firstRetry
-	b.MaxInterval = longestRetry
-	s = &session{backoff: b}
+	s = &session{pause: newPause()}
 	m.sessions[t.key()] = s
 	return s, nil
 }
 
+// greeted lets a VM that has just opened a session be dialled at once, however
+// often it could not be reached before.
+func (m *Manager) greeted(vm string) {
+	m.mu.Lock()
+	s := m.sessions[vm]
+	m.mu.Unlock()
+	if s != nil {
+		s.pause.end()
+	}
+}
+
 func (s *session) connect(ctx context.Context, m *Manager, t Target) (*yamux.Session, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -273,19 +279,19 @@
 		return s.mux, nil
 	}
 	if s.address != t.Address {
-		s.notUntil = time.Time{}
+		s.pause.end()
 	}
 	s.address = t.Address
-	if time.Now().Before(s.notUntil) {
-		return nil, errors.Mark(errors.Wrapf(s.failure, "%s, not tried again yet", t.VM), ErrUnreachable)
+	if failure := s.pause.underWay(); failure != nil {
+		err := errors.Wrapf(failure, "%s, not tried again yet", t.VM)
+		return nil, errors.Mark(errors.Mark(err, ErrNotYet), ErrUnreachable)
 	}
 	mux, id, err := m.dial(ctx, t)
 	if err != nil {
-		s.failure = err
-		s.notUntil = time.Now().Add(s.backoff.NextBackOff())
+		s.pause.begin(err)
 		return nil, errors.Mark(errors.Wrapf(err, "%s at %s", t.VM, t.Address), ErrUnreachable)
 	}
-	s.backoff.Reset()
+	s.pause.end()
 	s.mux = mux
 	s.peer = id
 	return mux, nil
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -36,6 +36,25 @@
 // start runs a manager as a VM, with TLS from files if set, and returns it with
 // its address.
 func start(t *testing.T, vm, fleet string, files tlsfiles.Files) (*peer.Manager, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serve(t, l, vm, fleet, files), l.Addr().String()
+}
+
+// startAt does the same at an address that was in use before.
+func startAt(t *testing.T, address, vm, fleet string, files tlsfiles.Files) *peer.Manager {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serve(t, l, vm, fleet, files)
+}
+
+func serve(t *testing.T, l net.Listener, vm, fleet string, files tlsfiles.Files) *peer.Manager {
 	t.Helper()
 	cfg := peer.Config{Self: peer.Identity{Fleet: fleet, Hall: "a", VM: vm, Start: 1}, Handler: echo}
 	if files.Set() {
@@ -45,10 +64,6 @@
 		}
 		cfg.ServerTLS, cfg.ClientTLS = reloader.Server(true), reloader.PeerClient()
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	m := peer.New(cfg)
 	done := make(chan error, 1)
 	go func() { done <- m.Serve(l) }()
@@ -59,7 +74,7 @@
 			t.Error(err)
 		}
 	})
-	return m, l.Addr().String()
+	return m
 }
 
 func call(m *peer.Manager, vm, address string) (string, error) {
@@ -210,3 +225,34 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// TestPeerThatGreetsIsReachedAtOnce shows that the wait after failed dials ends
+// when the peer itself shows that it is there.
+func TestPeerThatGreetsIsReachedAtOnce(t *testing.T) {
+	a, addressA := start(t, "a1", "f", tlsfiles.Files{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addressB := l.Addr().String()
+	_ = l.Close()
+
+	// The wait after the sixth failure is 0.38 s or more.
+	const failures = 6
+	for dials := 0; dials < failures; time.Sleep(10 * time.Millisecond) {
+		_, err := call(a, "b1", addressB)
+		if err == nil {
+			t.Fatal("a VM that is not there answered")
+		}
+		if !errors.Is(err, peer.ErrNotYet) {
+			dials++
+		}
+	}
+	b := startAt(t, addressB, "b1", "f", tlsfiles.Files{})
+	if _, err := call(b, "a1", addressA); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(a, "b1", addressB); err != nil {
+		t.Errorf("a1 has heard of b1, but: %v", err)
+	}
+}
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -99,6 +99,7 @@
 		return
 	}
 	defer m.release(mux)
+	m.greeted(id.VM)
 	m.acceptStreams(mux, id)
 }
 
