daemon: a VM that starts tells its hall before it takes over upstreams

The status says 15 slots of 10; seven uploads of 4 s that began in that second fill the upstream twice over, and it stays "usable 6" until they end, so the status the session waits for never comes. A fault of the daemon, not of the session: two owners may send one upstream more than its slots. Change: at its start a VM probes the VMs of its hall as soon as it knows them, owns no upstreams until they have answered or run out of time, and is not ready before. What it is asked to carry meanwhile goes to the VMs that own them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,6 +81,7 @@
 	failed    chan error
 	pulling   sync.Mutex
 	heard     atomic.Int64 // when a peer last answered, in Unix milliseconds
+	greeted   atomic.Bool  // the hall has been told of the start
 	reassign  chan struct{}
 	pollNow   chan struct{}
 	lastTable uint64
@@ -249,6 +250,8 @@
 	case d.store.VMs().Version == 0:
 		// It could not pass a ticket on to the VM that it names.
 		return errors.New("no list of VMs has been heard yet")
+	case !d.greeted.Load():
+		return errors.New("the VMs of the hall have not been told of the start yet")
 	}
 	return nil
 }
@@ -279,7 +282,7 @@
 	go func() { d.fail(serveHTTP(d.operatorServer, d.operatorListener)) }()
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		d.watchLoop, d.listLoop, d.probeLoop, d.viewLoop, d.assignLoop, d.pollLoop, d.grantLoop, d.reportLoop, d.controlLoop, d.gaugeLoop,
+		d.watchLoop, d.listLoop, d.greetLoop, d.probeLoop, d.viewLoop, d.assignLoop, d.pollLoop, d.grantLoop, d.reportLoop, d.controlLoop, d.gaugeLoop,
 	} {
 		loops.Go(func() { loop(background) })
 	}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -47,11 +47,7 @@
 
 func (d *Daemon) assign() {
 	v := d.view.Load()
-	vms := ids(d.members.Hall(d.cfg.Hall))
-	if len(vms) == 0 {
-		// The last VM of a hall keeps its upstreams until it stops.
-		vms = []string{d.cfg.VM}
-	}
+	vms := d.owningVMs()
 	d.noteLeavers(v)
 	leaving := d.store.VMs().Leaving
 	others := make(map[string][]string)
@@ -104,7 +100,7 @@
 			own := poolWorker(s, w, v.Leaving(w.ID) || contains(leaving, w.ID))
 			own.LeavingStart = d.leavers.start(w.ID)
 			mine = append(mine, own)
-		} else if !contains(others, owner) {
+		} else if owner != "" && !contains(others, owner) {
 			others = append(others, owner)
 		}
 	}
