daemon, program: reports and sessions begin when the hall is known and workers answer

Change: a session waits until each worker answers. A VM does not report for its hall before the hall has heard of its start (it may take itself for the only one; found in the code).

--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -42,6 +42,9 @@
 func (d *Daemon) reportLoop(ctx context.Context) {
 	number := 0
 	every(ctx, d.cfg.ReportInterval, func() {
+		if !d.greeted.Load() {
+			return // It may take itself for the only VM of the hall.
+		}
 		members := d.members.Hall(d.cfg.Hall)
 		if !contains(assign.Top("reporter/"+d.cfg.Hall, ids(members), 1), d.cfg.VM) {
 			return
--- a/internal/program/session_test.go
+++ b/internal/program/session_test.go
@@ -182,6 +182,9 @@
 	ts.Check(writeJSON(filepath.Join(s.dir, "config.json"), set))
 	ts.Check(writeJSON(filepath.Join(s.dir, "vms.json"), list))
 	s.start(ts, "platform", "ryehill-standin", "platform", "--listen", s.net+"1:9000", "--config", "config.json", "--vms", "vms.json")
+	for id := range s.workers {
+		s.waitAnswers(ts, id)
+	}
 	for _, id := range s.order {
 		s.startVM(ts, id)
 	}
@@ -208,6 +211,15 @@
 	}, more...)...)
 }
 
+// waitAnswers waits until a worker listens: a VM that finds it gone takes its slots
+// out of use, which a session would take for its own doing.
+func (s *session) waitAnswers(ts *testscript.TestScript, id string) {
+	until(ts, "worker "+id+" answers", func() bool {
+		status, _, _ := fetch(http.MethodGet, "http://"+s.workers[id]+"/counts", nil, nil)
+		return status == http.StatusOK
+	})
+}
+
 func (s *session) waitReady(ts *testscript.TestScript, id string) {
 	url := "http://" + strings.Replace(s.vms[id].Entry, ":7000", ":7200", 1) + "/readyz"
 	until(ts, "VM "+id+" is ready", func() bool {
