gateway: watchers whose knowledge is old are passed over

All VMs of the region then wait until they may call the store themselves (3.2 s of 4), all at once, and the watcher itself, its own first choice, asks nobody: in a test its knowledge was 7.5 s old. And a watch after failures, or of a new watcher, was held for its whole time, in which nothing shows that the replica is complete. Ruled out: calling the store at half that age once the watcher has not answered (three calls from each VM of the region). Change: a watcher whose knowledge is older than half-way from the longest hold to the age at which all call the store is avoided for a while, this VM itself too. The hold of a watch is less by what is old already. Counter watchers_passed_over_total by reason.

--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -92,7 +92,7 @@
 // A VM that a peer shows to lack an object reads the kind from the store.
 func TestDoubtedKindIsReadFromTheStore(t *testing.T) {
 	f, vms := threeVMs(t)
-	_, others := watcherOf(f, vms)
+	_, others := watcherOf(t, vms)
 	v := others[0]
 	before := v.door.count("list " + kindWorkers)
 	at := f.store.atRevision()
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/holders"
@@ -90,3 +91,6 @@
 	_, ok := s.Workers.Get(worker)
 	return ok
 }
+
+// Age returns how old the oldest knowledge is that requests rest on.
+func (g *Gateway) Age() time.Duration { return g.age() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -193,13 +193,21 @@
 }
 
 // watcherOf returns the VM that watches, found by its calls.
-func watcherOf(f *fleet, vms []*vm) (watcher *vm, others []*vm) {
+func watcherOf(t *testing.T, vms []*vm) (watcher *vm, others []*vm) {
+	t.Helper()
+	return watcherIn(t, 2*time.Second, vms)
+}
+
+// watcherIn does the same by the calls of a span of time, in which the watcher
+// calls twice.
+func watcherIn(t *testing.T, span time.Duration, vms []*vm) (watcher *vm, others []*vm) {
+	t.Helper()
 	before := make(map[string]int)
 	time.Sleep(2500 * time.Millisecond) // Any call of a start is over.
 	for _, v := range vms {
 		before[v.name] = v.door.count("watch " + kindConfig)
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(span)
 	for _, v := range vms {
 		if v.door.count("watch "+kindConfig)-before[v.name] >= 2 {
 			watcher = v
@@ -208,7 +216,7 @@
 		}
 	}
 	if watcher == nil || len(others) != len(vms)-1 {
-		f.t.Fatal("not just one VM watches")
+		t.Fatal("not just one VM watches")
 	}
 	return watcher, others
 }
@@ -216,7 +224,7 @@
 // One VM watches the store for its region, and the others call it hardly ever.
 func TestOneWatcherTellsTheOthers(t *testing.T) {
 	f, vms := threeVMs(t)
-	_, others := watcherOf(f, vms)
+	_, others := watcherOf(t, vms)
 	for _, v := range others {
 		before := v.door.count("watch " + kindWorkers)
 		time.Sleep(time.Second)
@@ -244,7 +252,7 @@
 	for name, breakWatcher := range cases {
 		t.Run(name, func(t *testing.T) {
 			f, vms := threeVMs(t)
-			watcher, others := watcherOf(f, vms)
+			watcher, others := watcherOf(t, vms)
 			breakWatcher(watcher)
 			time.Sleep(100 * time.Millisecond)
 			f.config(2, "other")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -100,7 +100,7 @@
 		return
 	}
 	defer g.pulling.Unlock()
-	if err := g.askNews(context.Background(), from, 0); err != nil {
+	if _, err := g.askNews(context.Background(), from, 0); err != nil {
 		g.log.V(1).Info("peer: news not had", "peer", from.VM, "error", err.Error())
 	}
 }
@@ -120,7 +120,7 @@
 		if g.asksPeersFirst() {
 			hold = askHold
 		}
-		if err := g.askNews(ctx, peer.Target{Address: seed}, hold); err != nil {
+		if _, err := g.askNews(ctx, peer.Target{Address: seed}, hold); err != nil {
 			g.log.V(1).Info("peer: a seed has no news", "seed", seed, "error", err.Error())
 		}
 		sleep(ctx, seedInterval)
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -26,6 +26,10 @@
 	askedFor = 2 * time.Second
 	// noWatcher is the wait before the next look for a VM to ask.
 	noWatcher = 250 * time.Millisecond
+	// newWatcherGrace is how long a VM that is asked for the first time has until
+	// what it knows must be young: one answer, and a call to the store from the
+	// farthest region.
+	newWatcherGrace = 2 * askHold
 )
 
 // watchers is who watches the store for whom. In each region the VMs ask one of
@@ -90,22 +94,33 @@
 }
 
 // watcher returns the VM of this region that is to be asked for news; it may be
-// this one.
+// this one, and is if all are avoided.
 func (g *Gateway) watcher(now time.Time) membership.Member {
-	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
-	ids := []string{g.cfg.VM}
-	for _, m := range g.live() {
-		if m.ID != g.cfg.VM && g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoided.has(m.ID, now) {
+	self := g.members.Self()
+	candidates := make(map[string]membership.Member)
+	var ids []string
+	for _, m := range append(g.live(), self) {
+		if g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoided.has(m.ID, now) {
 			candidates[m.ID] = m
 			ids = append(ids, m.ID)
 		}
 	}
+	if len(ids) == 0 {
+		return self
+	}
 	slices.Sort(ids)
-	return candidates[assign.Top("watcher/"+g.region(), ids, 1)[0]]
+	return candidates[assign.Top("watcher/"+g.region(), slices.Compact(ids), 1)[0]]
+}
+
+// choice is the VM that is asked for news, and since when.
+type choice struct {
+	vm    string
+	since time.Time
 }
 
 // askLoop asks the region's watcher for news, again and again.
 func (g *Gateway) askLoop(ctx context.Context) {
+	var chosen choice
 	for ctx.Err() == nil {
 		if g.asksPeersFirst() {
 			sleep(ctx, seedInterval) // startLoop asks the seeds.
@@ -113,23 +128,46 @@
 		}
 		now := time.Now()
 		m := g.watcher(now)
-		g.watchers.choose(m.ID == g.cfg.VM)
-		if m.ID == g.cfg.VM {
-			g.takeOutcomes()
-			sleep(ctx, noWatcher)
-			continue
+		if m.ID != chosen.vm {
+			chosen = choice{vm: m.ID, since: now}
 		}
-		if err := g.askNews(ctx, peer.Target{VM: m.ID, Address: m.Peer}, askHold); err != nil {
+		g.watchers.choose(m.ID == g.cfg.VM)
+		age, err := g.followWatcher(ctx, m)
+		switch {
+		case err != nil:
 			g.watchers.avoided.add(m.ID, now)
+			g.cfg.Metrics.WatcherPassedOver("no answer")
 			g.log.Info("watchers: one does not answer", "peer", m.ID, "error", err.Error())
+		case age > g.oldForWatcher() && now.Sub(chosen.since) > newWatcherGrace:
+			g.watchers.avoided.add(m.ID, now)
+			g.cfg.Metrics.WatcherPassedOver("old knowledge")
+			g.log.Info("watchers: what one knows is old", "peer", m.ID, "age_ms", age.Milliseconds())
 		}
 	}
 }
 
+// followWatcher asks the region's watcher for news once. If that is this VM, it
+// waits a moment. It returns the age of the oldest knowledge that the watcher has.
+func (g *Gateway) followWatcher(ctx context.Context, m membership.Member) (time.Duration, error) {
+	if m.ID != g.cfg.VM {
+		return g.askNews(ctx, peer.Target{VM: m.ID, Address: m.Peer}, askHold)
+	}
+	g.takeOutcomes()
+	sleep(ctx, noWatcher)
+	return g.age(), nil
+}
+
+// oldForWatcher returns the age above which the knowledge of a watcher shows that
+// the store does not answer it: half-way between the longest hold of a watch, to
+// which a slow store adds some tenths of a second, and the age at which all VMs
+// call the store themselves.
+func (g *Gateway) oldForWatcher() time.Duration { return (g.cfg.WatchHold + g.cfg.StaleAfter) / 2 }
+
 // askNews asks a VM for what this one lacks. What it confirms is at least as
 // new as the moment at which it answered, less the age that it gives; that
-// moment is not before the question was sent plus the time it was held.
-func (g *Gateway) askNews(ctx context.Context, from peer.Target, hold time.Duration) error {
+// moment is not before the question was sent plus the time it was held. It
+// returns the greatest age that the peer gave of a kind that is watched.
+func (g *Gateway) askNews(ctx context.Context, from peer.Target, hold time.Duration) (oldest time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+askGrace)
 	defer cancel()
 	sent := time.Now()
@@ -145,7 +183,7 @@
 	g.cfg.Metrics.PeerCall("sync", err)
 	g.knowledge.notePeer(err)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	answer := reply.GetSynced()
 	g.hearSpared(answer.GetSparedMillis())
@@ -164,7 +202,16 @@
 			g.replica.Confirm(kind, answered.Add(-time.Duration(age)*time.Millisecond))
 		}
 	}
-	return nil
+	return g.oldestTold(answer), nil
+}
+
+// oldestTold returns the greatest age in an answer of a kind that is watched.
+func (g *Gateway) oldestTold(answer *peerpb.Synced) time.Duration {
+	oldest := uint32(0)
+	for _, kind := range g.watchedKinds() {
+		oldest = max(oldest, answer.GetAgeMillis()[kind])
+	}
+	return time.Duration(oldest) * time.Millisecond
 }
 
 // mergeDelta takes in what a peer told of one kind. A kind that the peer shows to
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -72,13 +72,21 @@
 func (g *Gateway) dueCall(kind string) (time.Duration, bool) {
 	switch {
 	case g.watches():
-		return g.cfg.WatchHold, true
+		return g.holdFor(kind), true
 	case g.replica.Doubted(kind), time.Since(g.replica.Confirmed(kind)) >= g.cfg.StaleAfter:
 		return atOnce, true
 	}
 	return 0, false
 }
 
+// holdFor returns for how long the store may hold a watch. While it does, nothing
+// shows that the replica is complete; so what is old already is asked for at once.
+// The way of the last answer, a part of askHold, makes nothing old.
+func (g *Gateway) holdFor(kind string) time.Duration {
+	age := time.Since(g.replica.Confirmed(kind))
+	return min(max(g.cfg.WatchHold+askHold-age, atOnce), g.cfg.WatchHold)
+}
+
 // waitDue waits until the replica of a kind has become too old, or this VM is
 // asked to watch.
 func (g *Gateway) waitDue(ctx context.Context, kind string) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -40,6 +40,7 @@
 	keysMoved prometheus.Counter
 	knowledge *prometheus.GaugeVec
 	doubted   *prometheus.CounterVec
+	passed    *prometheus.CounterVec
 	copies    *prometheus.CounterVec
 }
 
@@ -68,6 +69,7 @@
 		members:   gauge(r, "members", "Known VMs by state.", "state"),
 		knowledge: gauge(r, "knowledge_age_seconds", "Time since the store last confirmed what is believed, by kind.", "kind"),
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
+		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -150,6 +152,9 @@
 // KnowledgeDoubted counts a kind of which a peer named an object that was missing.
 func (s *Set) KnowledgeDoubted(kind string) { s.doubted.WithLabelValues(kind).Inc() }
 
+// WatcherPassedOver counts a VM that is not asked for news for a while.
+func (s *Set) WatcherPassedOver(reason string) { s.passed.WithLabelValues(reason).Inc() }
+
 // PeerCopies counts whole kinds that were told to peers, and their bytes.
 func (s *Set) PeerCopies(copies, bytes int) {
 	s.copies.WithLabelValues("copies").Add(float64(copies))
