gateway, daemon: an answer to a peer is sent for as long as the peer waits

The write of an answer had no end of its own: yamux lets a stream that its reader has closed wait five minutes for its window. Two askers whose time was over, with answers above 512 KB, kept all others from what they lack. Ruled out: that it needs a frozen machine; an asker that has given up is enough. Tests: TestPeersThatDoNotReadHoldNoPlaceForLong failed first (not within 15 s, both cases); scripts/switch-off.sh has a line.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,6 +41,8 @@
 		d.log.Info("peer: a stream cannot begin with this message", "peer", from.VM, "message", errors.Newf("%T", k).Error())
 		return
 	}
+	// A write that nobody reads has no end of its own.
+	s.SetWriteDeadline(time.Now().Add(pullTimeout))
 	if err := s.Write(reply); err != nil {
 		d.log.V(1).Info("peer: reply not sent", "peer", from.VM, "error", err.Error())
 	}
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -13,10 +13,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/peer"
 )
 
 // answerOf returns an answer with a delta of one kind, and with its age.
@@ -140,3 +143,43 @@
 		t.Errorf("%d of %d told after %s, want all within a second", told.Load(), askers, took)
 	}
 }
+
+// Peers that ask for large answers and stop reading give their places back soon,
+// also if they have closed their streams: others wait for the places.
+func TestPeersThatDoNotReadHoldNoPlaceForLong(t *testing.T) {
+	cases := map[string]func(*peer.Stream){
+		"they have given up": func(s *peer.Stream) { s.Close() },
+		"they are frozen":    func(*peer.Stream) {},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			// Two parts of 0.4 MB are more than the 0.5 MB that are sent unread.
+			const workers, entry, other = 600, 600, 400 << 10
+			for i := range workers {
+				f.store.put(kindWorkers, fmt.Sprintf("w%d", i), worker.Worker{Service: "s", Hall: "north-a", Slots: 4, Address: strings.Repeat("1", entry)})
+			}
+			f.store.put(kindTraffic, "other", strings.Repeat("1", other))
+			v := f.start("a", "north-a", nil)
+			f.until("it serves", v.ready)
+			others := peer.New(peer.Config{
+				Self:    peer.Identity{Fleet: "test", Hall: "north-a", VM: "slow", Start: 1},
+				Handler: func(context.Context, peer.Identity, *peer.Stream, *peerpb.Envelope) {}, Log: logr.Discard(),
+			})
+			defer others.Close()
+			ask := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: &peerpb.Sync{}}}
+			for range 2 {
+				s, err := others.Open(context.Background(), peer.Target{VM: "a", Address: f.seeds[0]}, ask)
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(500 * time.Millisecond) // The answer is under way.
+				end(s)
+			}
+			f.within(2*time.Second, "another VM is told all workers", func() bool {
+				answer := v.Tell(context.Background(), &peerpb.Sync{})
+				return slices.ContainsFunc(answer.GetDeltas(), func(d *peerpb.Delta) bool { return d.GetKind() == kindWorkers })
+			})
+		})
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,8 +127,18 @@
 	}
 }
 
+// answerTime is how long a peer waits for the answer to a message, and so for how
+// long it may be sent. A write that nobody reads has no end of its own.
+func answerTime(first *peerpb.Envelope) time.Duration {
+	if ask := first.GetSync(); ask != nil {
+		return min(time.Duration(ask.GetHoldMillis())*time.Millisecond, askHold) + askGrace
+	}
+	return probeTimeout
+}
+
 // handlePeer serves one stream that another VM opened.
 func (g *Gateway) handlePeer(ctx context.Context, from peer.Identity, s *peer.Stream, first *peerpb.Envelope) {
+	s.SetWriteDeadline(time.Now().Add(answerTime(first)))
 	var reply *peerpb.Envelope
 	switch k := first.GetKind().(type) {
 	case *peerpb.Envelope_Probe:
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -96,6 +96,7 @@
 off watch-held-for-less internal/gateway/watch.go 'return min(max(g.cfg.WatchHold+askHold-age, atOnce), g.cfg.WatchHold)' 'return g.cfg.WatchHold' ./internal/gateway TestWatchIsHeldForLess
 off start-is-told-first internal/daemon/greet.go 'if !d.greeted.Load() {' 'if false {' ./internal/fleet TestUpstreamsHaveOneOwner
 off greeting-ends-the-pause transport/peer/stream.go 'm.greeted(id.VM)' '' ./transport/peer TestPeerThatGreets
+off answers-have-an-end internal/gateway/peers.go 's.SetWriteDeadline(time.Now().Add(answerTime(first)))' '_ = answerTime' ./internal/gateway TestPeersThatDoNotRead
 off loads-told-once internal/gateway/loads.go 'after = mark.GetNumber()' '' ./internal/gateway TestLoadsAreToldOnce
 off large-parts-bounded internal/gateway/copies.go 'if c.underWay >= largeAtOnce {' 'if false {' ./internal/gateway TestLargeParts
 off doubt-leads-to-a-list internal/gateway/watch.go 'if !known || list || g.replica.Doubted(kind) {' 'if !known || list {' ./internal/gateway TestDoubtedKindIsRead
