--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(LINT) run ./...
 
 # One package after the other: several run whole fleets, and a machine that is
-# short of processor time makes them refuse what they would else carry.
+# short of processor time makes them refuse what they would else carry. For the
+# same reason four tests of a package run at a time: a session starts 13 processes.
 # SKIP names tests that are left out, as a pattern; CI sets it from KNOWN-RED.txt.
 test:
 	go test -race -p 1 -parallel 4 -timeout 8m $(if $(SKIP),-skip '^($(SKIP))$$') ./...
