gateway: watchers are not passed over in calm

Where a change has little time (2 s in the tests, 2.5 s on some sites) half-way from the hold of a watch to the age at which all VMs call the store is less than a watch and one held answer make of it in calm. VMs passed their watcher over for nothing, and two that disagree on it do not hear what they tell each other of workers. Change: not before the hold and two held answers.

--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -156,7 +156,10 @@
 }
 
 // oldForWatcher returns the age above which the knowledge of a watcher shows that
-// the store does not answer it: half-way between the longest hold of a watch, to
-// which a slow store adds some tenths of a second, and the age at which all VMs
-// call the store themselves.
-func (g *Gateway) oldForWatcher() time.Duration { return (g.cfg.WatchHold + g.cfg.StaleAfter) / 2 }
+// the store does not answer it: half-way between the longest hold of a watch and
+// the age at which all VMs call the store themselves, but not less than a watch and
+// a slow store make of it in calm. VMs that disagree on the watcher do not hear what
+// they tell each other of workers.
+func (g *Gateway) oldForWatcher() time.Duration {
+	return max((g.cfg.WatchHold+g.cfg.StaleAfter)/2, g.cfg.WatchHold+2*askHold)
+}
