--- a/internal/program/gateway.go
+++ b/internal/program/gateway.go
@@ -47,7 +47,12 @@
 	signal.Ignore(syscall.SIGHUP)
 	cfg.Log = logs.New(logs.NewQueue(os.Stdout), c.Bool("verbose"))
 	cfg.Metrics = metrics.New()
-	cfg.Store = storeAdapter{platform.NewStore(platform.StoreConfig{Address: c.String("platform"), Called: cfg.Metrics.PlatformCall})}
+	cfg.StoreCalls = &gateway.StoreCalls{}
+	called := func(call, kind string, err error) {
+		cfg.Metrics.PlatformCall(call+" "+kind, err)
+		cfg.StoreCalls.Note(call, kind, err)
+	}
+	cfg.Store = storeAdapter{platform.NewStore(platform.StoreConfig{Address: c.String("platform"), Called: called})}
 	cfg.Codec = platform.Codec{}
 	cfg.Dialect = platform.Headers{}
 	cfg.EntryHandler = func(g *gateway.Gateway) http.Handler { return platform.Entry(g) }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -26,6 +26,7 @@
 		text("directory", "IP:port for clients that ask where to go"),
 		text("peer", "IP:port for other VMs"),
 		text("metrics", "IP:port for operators: metrics and explanations"),
+		&cli.FloatFlag{Name: "link", Usage: "width of this VM's link, in Mbit/s; 0 is unknown", Sources: env("link")},
 		text("token", "bearer token that operators must show; without one there are no intents, status and explanations"),
 		text("platform", "IP:port of the platform's store"),
 		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
@@ -49,6 +50,7 @@
 		Fleet: c.String("fleet"), VM: c.String("vm"), Hall: c.String("hall"),
 		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
 		Peer: c.String("peer"), MetricsAddress: c.String("metrics"), Token: c.String("token"),
+		LinkMbps:   int(c.Float("link")),
 		FirstStart: c.Bool("first-start"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
--- a/state/spec/vms.go
+++ b/state/spec/vms.go
@@ -31,6 +31,8 @@
 	Entry string  `json:"entry"`
 	Peer  string  `json:"peer"`
 	State VMState `json:"state"`
+	// LinkMbps is the width of the VM's link, in Mbit/s; 0 is unknown.
+	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
 // VMList is one version of the platform's list. Worker ids that leave are part
--- a/transport/peer/member.go
+++ b/transport/peer/member.go
@@ -18,7 +18,7 @@
 func EncodeMember(m membership.Member) *peerpb.Member {
 	return &peerpb.Member{
 		Vm: m.ID, Hall: m.Hall, Entry: m.Entry, Peer: m.Peer,
-		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State),
+		Start: m.Start, Incarnation: m.Incarnation, State: uint32(m.State), LinkMbps: uint32(m.LinkMbps),
 	}
 }
 
@@ -30,7 +30,9 @@
 		return membership.Member{}, errors.Wrapf(ErrMember, "VM %q", m.GetVm())
 	}
 	return membership.Member{
-		VM:    spec.VM{ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive},
+		VM: spec.VM{
+			ID: m.GetVm(), Hall: m.GetHall(), Entry: m.GetEntry(), Peer: m.GetPeer(), State: spec.VMLive, LinkMbps: int(m.GetLinkMbps()),
+		},
 		Start: m.GetStart(), Incarnation: m.GetIncarnation(), State: state,
 	}, nil
 }
