--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/ryehill/ryehill/coordination/assign"
 	"github.com/ryehill/ryehill/coordination/balance"
 	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/holders"
@@ -57,7 +57,7 @@
 func (g *Gateway) balanceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, balanceInterval)
-		if !g.Ready() || !g.watches() {
+		if !g.Ready() || !g.settled() || !g.watches() {
 			continue
 		}
 		m := g.balancerVM(time.Now())
@@ -76,14 +76,16 @@
 // balancerVM returns the VM of the fleet that decides; it may be this one.
 func (g *Gateway) balancerVM(now time.Time) membership.Member {
 	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
-	ids := []string{g.cfg.VM}
 	for _, m := range g.live() {
 		if m.ID != g.cfg.VM && !g.balancer.avoided.has(m.ID, now) {
 			candidates[m.ID] = m
-			ids = append(ids, m.ID)
 		}
 	}
-	return candidates[assign.Top("balancer", ids, 1)[0]]
+	vms := make([]tree.VM, 0, len(candidates))
+	for id, m := range candidates {
+		vms = append(vms, tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps})
+	}
+	return candidates[tree.Ranked("balancer", vms)[0]]
 }
 
 // reportDemand tells the balancer what callers ask for, and takes in what it has
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,6 +44,9 @@
 	// List returns all objects of a kind and a revision up to which they are
 	// complete. A stale one may be some seconds old and costs less.
 	List(ctx context.Context, kind string, stale bool) ([]object.Object, uint64, error)
+	// Page returns some objects of a kind, those whose names follow a name, in
+	// order of their names. They may be some seconds old, and cost little.
+	Page(ctx context.Context, kind, after string) ([]object.Object, error)
 	// Watch returns the changes of a kind after a revision as soon as there
 	// are any, at the latest after the hold.
 	Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error)
@@ -70,6 +74,9 @@
 	Routes(o object.Object) (route.Config, error)
 	// Worker returns a worker and for how long it is still cold.
 	Worker(o object.Object) (worker.Worker, time.Duration, error)
+	// MemberName names the entry of a VM, such that those of a hall follow each
+	// other and come after the name for a VM of the hall without an id.
+	MemberName(vm spec.VM) string
 	EncodeMember(vm spec.VM) ([]byte, error)
 	Members(objects []object.Object) []spec.VM
 }
@@ -109,6 +116,9 @@
 	// Token is what operators must show to have requests explained. Without
 	// one they cannot.
 	Token string
+	// LinkMbps is the width of this VM's link, in Mbit/s. VMs with wide links
+	// tell the others what is new. Default 0, which is unknown.
+	LinkMbps int
 	// Seeds are addresses of peers to ask while the store is away at the
 	// start.
 	Seeds []string
@@ -117,9 +127,11 @@
 	FirstStart bool
 	Bounds     Bounds
 
-	Store   Store
-	Codec   Codec
-	Dialect Dialect
+	Store Store
+	// StoreCalls is what counts the calls of Store. Default one that nobody tells.
+	StoreCalls *StoreCalls
+	Codec      Codec
+	Dialect    Dialect
 	// EntryHandler makes the handler of readiness and directory.
 	EntryHandler func(*Gateway) http.Handler
 	Log          logr.Logger
@@ -149,12 +161,17 @@
 	applyMargin = 800 * time.Millisecond
 	// leastStale bounds StaleAfter from below.
 	leastStale = 500 * time.Millisecond
+	// maxLinkMbps bounds the setting: a terabit a second.
+	maxLinkMbps = 1_000_000
 )
 
 func (c *Config) setDefaults() {
 	if c.Listen == nil {
 		c.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
+	if c.StoreCalls == nil {
+		c.StoreCalls = &StoreCalls{}
+	}
 	if c.StaleAfter <= 0 {
 		c.StaleAfter = max(c.Bounds.ApplyWithin-applyMargin, leastStale)
 	}
@@ -190,6 +207,9 @@
 			add("seeds", "want IP:port, not \""+seed+"\"")
 		}
 	}
+	if c.LinkMbps < 0 || c.LinkMbps > maxLinkMbps {
+		add("link", "want 0 to "+strconv.Itoa(maxLinkMbps)+" Mbit/s")
+	}
 	if c.Bounds.Grace <= 0 {
 		add("grace", "want a time above 0")
 	}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -57,10 +57,16 @@
 // the only one, and so would all that start with it.
 const settleTime = 2 * time.Second
 
+// settled reports whether this VM has had the time to hear of the others.
+func (g *Gateway) settled() bool {
+	_, known := g.replica.At(g.cfg.Codec.MemberKind())
+	return known && time.Since(g.begun()) >= settleTime
+}
+
 // Live implements placement.Peers. A VM that has just started, or does not know
 // the list of VMs, names nobody.
 func (g *Gateway) Live(region string) (ids []string, listed int) {
-	if _, known := g.replica.At(g.cfg.Codec.MemberKind()); !known || time.Since(g.started) < settleTime {
+	if !g.settled() {
 		return nil, 0
 	}
 	for _, m := range g.live() {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -94,3 +94,12 @@
 
 // Age returns how old the oldest knowledge is that requests rest on.
 func (g *Gateway) Age() time.Duration { return g.age() }
+
+// Unpack reads a packed delta; Packed and Unpacked return a delta as it is sent.
+var Unpack = unpack
+
+// Packed returns what a delta is packed to for a VM that understands that.
+func Packed(d object.Delta) []byte { return newPacks().delta(d, true).GetPacked() }
+
+// Unpacked returns a delta as it is sent to any VM.
+func Unpacked(d object.Delta) *peerpb.Delta { return toDelta(d) }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -33,6 +33,9 @@
 	kindPlans   = "plans"
 )
 
+// storePage is how many objects the fake store lists at a time.
+const storePage = 50
+
 var errAway = errors.New("the store is away")
 
 // memoryStore is a store in memory. Each VM has a door of its own to it, that
@@ -247,6 +250,22 @@
 	return list, d.store.revision, nil
 }
 
+func (d *door) Page(ctx context.Context, kind, after string) ([]object.Object, error) {
+	if err := d.pass(ctx, "page "+kind, time.Second); err != nil {
+		return nil, err
+	}
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	var list []object.Object
+	for name, o := range d.store.kinds[kind] {
+		if name > after {
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b object.Object) int { return cmp.Compare(a.Name, b.Name) })
+	return list[:min(len(list), storePage)], nil
+}
+
 func (d *door) Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error) {
 	if err := d.pass(ctx, "watch "+kind, hold+300*time.Millisecond); err != nil {
 		return nil, 0, err
@@ -309,6 +328,8 @@
 	return w, 0, err
 }
 
+func (codec) MemberName(vm spec.VM) string { return vm.Hall + "." + vm.ID }
+
 func (codec) EncodeMember(vm spec.VM) ([]byte, error) { return json.Marshal(vm) }
 
 func (codec) Members(objects []object.Object) []spec.VM {
@@ -338,7 +359,9 @@
 	running, err := strconv.Atoi(h.Get("Running"))
 	return running, 0, err == nil
 }
-func (dialect) Refused(*http.Response) (upstream.Kind, bool)       { return 0, false }
+func (dialect) Refused(res *http.Response) (upstream.Kind, bool) {
+	return upstream.KindOther, res.StatusCode == http.StatusMisdirectedRequest
+}
 func (dialect) Belongs(_ *upstream.Request, _ *http.Response) bool { return true }
 func (dialect) WithoutLength() bool                                { return true }
 
@@ -347,3 +370,14 @@
 	_ gateway.Codec   = codec{}
 	_ gateway.Dialect = dialect{}
 )
+
+// countAll returns how many calls were made.
+func (d *door) countAll() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := 0
+	for _, n := range d.calls {
+		sum += n
+	}
+	return sum
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,9 +58,6 @@
 	workerIdle = 8 * time.Second
 	// onceIdle is for how long it is good for a request that runs only once.
 	onceIdle = 2 * time.Second
-	// peersFirst is how long a VM waits for its peers' word when the whole
-	// fleet starts for the first time.
-	peersFirst = 3 * time.Second
 	// retryPart of the allowed ratio is used: a VM cannot tell requests that
 	// other VMs count from those in flight to it.
 	retryPart = 0.7
@@ -98,8 +95,12 @@
 	away      absence
 	judge     *outlier.Judge
 	watchers  *watchers
+	neighbors *neighbors
 	knowledge *knowledge
 	copies    *copies
+	packs     *packs
+	relayed   *relayed
+	gate      *gate
 	placer    *placement.Placer
 	balancer  *balancer
 	failed    chan error
@@ -119,6 +120,7 @@
 		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
+		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{},
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -155,7 +157,7 @@
 }
 
 func (g *Gateway) vm() spec.VM {
-	return spec.VM{ID: g.cfg.VM, Hall: g.cfg.Hall, Entry: g.cfg.Ingress, Peer: g.cfg.Peer, State: spec.VMLive}
+	return spec.VM{ID: g.cfg.VM, Hall: g.cfg.Hall, Entry: g.cfg.Ingress, Peer: g.cfg.Peer, State: spec.VMLive, LinkMbps: g.cfg.LinkMbps}
 }
 
 func (g *Gateway) region() string { return g.cfg.Halls[g.cfg.Hall] }
@@ -252,7 +254,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.ingress.LogLosses}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
@@ -263,24 +265,6 @@
 	return loops
 }
 
-// asksPeersFirst reports whether this VM leaves it to the peers of the settings
-// to ask the store, because the whole fleet starts for the first time.
-func (g *Gateway) asksPeersFirst() bool {
-	return g.cfg.FirstStart && len(g.cfg.Seeds) > 0 && !slices.Contains(g.cfg.Seeds, g.cfg.Peer) &&
-		time.Since(g.started) < peersFirst
-}
-
-// waitForPeers waits until a kind is known, as long as peers are to be asked
-// first.
-func (g *Gateway) waitForPeers(ctx context.Context, kind string) {
-	for ctx.Err() == nil && g.asksPeersFirst() {
-		if _, known := g.replica.At(kind); known {
-			return
-		}
-		sleep(ctx, seedInterval)
-	}
-}
-
 // replicatedKinds are the kinds that VMs tell each other of.
 func (g *Gateway) replicatedKinds() []string {
 	return append(g.watchedKinds(), g.listedKinds()...)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -17,16 +17,24 @@
 // hearLoads takes in what workers told other VMs of the region. One VM sends a
 // worker too few requests to know how busy it is.
 func (g *Gateway) hearLoads(told map[string]*peerpb.WorkerLoad) {
+	g.eachLoad(told, (*worker.Load).Heard)
+}
+
+// passOnLoads does the same with what VMs tell that ask this one, and lets the VM
+// that this one asks know of it.
+func (g *Gateway) passOnLoads(told map[string]*peerpb.WorkerLoad) {
+	g.eachLoad(told, (*worker.Load).PassOn)
+}
+
+func (g *Gateway) eachLoad(told map[string]*peerpb.WorkerLoad, take func(*worker.Load, worker.Word)) {
 	s := g.snapshot.Load()
 	if s == nil || len(told) > maxLoads {
 		return
 	}
 	for id, l := range told {
-		if _, ok := s.Workers.Get(id); !ok {
-			continue
+		if _, ok := s.Workers.Get(id); ok {
+			take(g.loads.Of(id), worker.Word{Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond})
 		}
-		word := worker.Word{Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond}
-		g.loads.Of(id).Heard(word)
 	}
 }
 
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -14,21 +14,28 @@
 const maxOutcomes = 512
 
 // takeOutcomes judges by what this VM has seen since the last call, and returns
-// it for the region's watcher, which adds up what all VMs of the region saw.
+// it, with what VMs that ask this one have seen, for the region's watcher, which adds
+// up what all VMs of the region saw.
 func (g *Gateway) takeOutcomes() map[string]worker.Outcomes {
 	outcomes := g.loads.TakeOutcomes(maxOutcomes)
 	g.judge.Add(outcomes)
 	g.spare(g.judge.Spared())
+	g.relayed.takeOutcomes(outcomes)
 	return outcomes
 }
 
-// spare sends nothing to workers for a while.
+// spare sends nothing to workers for a while, whether this VM has dealt with them or
+// not: at 295 VMs most have not, and each would find out by a request of its own.
 func (g *Gateway) spare(workers map[string]time.Duration) {
+	s := g.snapshot.Load()
+	if s == nil {
+		return
+	}
 	for id, left := range workers {
-		load, ok := g.loads.Known(id)
-		if !ok {
+		if _, ok := s.Workers.Get(id); !ok {
 			continue
 		}
+		load := g.loads.Of(id)
 		if !load.Spared() {
 			g.log.Info("workers: one fails too much and is spared", "worker", id, "for_ms", left.Milliseconds())
 		}
@@ -46,6 +53,7 @@
 		outcomes[id] = worker.Outcomes{Answered: o.GetAnswered(), Failed: o.GetFailed()}
 	}
 	g.judge.Add(outcomes)
+	g.relayed.addOutcomes(outcomes)
 }
 
 func toOutcomes(outcomes map[string]worker.Outcomes) map[string]*peerpb.Outcomes {
@@ -56,9 +64,11 @@
 	return out
 }
 
-// sparedMillis returns the workers that this VM finds to fail too much.
+// sparedMillis returns the workers that this VM, or the one that it asks, finds to
+// fail too much.
 func (g *Gateway) sparedMillis() map[string]uint32 {
 	spared := g.judge.Spared()
+	g.relayed.addSpared(spared, time.Now())
 	out := make(map[string]uint32, len(spared))
 	for id, left := range spared {
 		out[id] = uint32(left.Milliseconds())
@@ -73,4 +83,5 @@
 		spared[id] = time.Duration(millis) * time.Millisecond
 	}
 	g.spare(spared)
+	g.relayed.spare(spared, time.Now())
 }
--- a/internal/gateway/outliers_test.go
+++ b/internal/gateway/outliers_test.go
@@ -50,3 +50,34 @@
 		t.Errorf("it got %d requests more", got)
 	}
 }
+
+// A worker whose address has passed to another is found out by one request of one
+// VM: no other VM sends it any.
+func TestVMsHearThatAWorkerHasEnded(t *testing.T) {
+	f, vms := threeVMs(t)
+	var asked atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	t.Cleanup(other.Close)
+	f.store.put(kindWorkers, "ended", worker.Worker{Service: "s", Hall: "north-a", Slots: 4, Address: strings.TrimPrefix(other.URL, "http://")})
+	f.store.remove(kindWorkers, "w1")
+	f.until("one VM sends it a request", func() bool {
+		vms[0].ask("/")
+		return asked.Load() > 0
+	})
+	for i := range 5 {
+		f.worker(fmt.Sprintf("good%d", i), "s", "north-a")
+	}
+	time.Sleep(1200 * time.Millisecond) // Two questions to the watcher, within the first spell.
+	before := asked.Load()
+	for _, v := range vms {
+		for range 20 {
+			v.ask("/")
+		}
+	}
+	if got := asked.Load() - before; got > 0 {
+		t.Errorf("it got %d requests of VMs that could know", got)
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,8 +20,7 @@
 	probeTimeout = 800 * time.Millisecond
 	// watcherLate is the age of knowledge at which this VM takes the word of
 	// any peer, not only that of its region's watcher.
-	watcherLate  = 1200 * time.Millisecond
-	seedInterval = 100 * time.Millisecond
+	watcherLate = 1200 * time.Millisecond
 )
 
 // probeLoop probes members and moves their states on.
@@ -100,33 +99,11 @@
 		return
 	}
 	defer g.pulling.Unlock()
-	if _, err := g.askNews(context.Background(), from, 0); err != nil {
+	if _, err := g.askNews(context.Background(), question{from: from}); err != nil {
 		g.log.V(1).Info("peer: news not had", "peer", from.VM, "error", err.Error())
 	}
 }
 
-// startLoop asks the peers of the settings for news until this VM can serve and,
-// at the first start of a fleet, as long as peers are to be asked first: by then
-// all know each other and agree on who watches. It saves the store most of the
-// calls of a start, and is all there is while the store is away.
-func (g *Gateway) startLoop(ctx context.Context) {
-	for i := 0; ctx.Err() == nil && len(g.cfg.Seeds) > 0 && (g.snapshot.Load() == nil || g.asksPeersFirst()); i++ {
-		seed := g.cfg.Seeds[i%len(g.cfg.Seeds)]
-		if seed == g.cfg.Peer {
-			sleep(ctx, seedInterval)
-			continue
-		}
-		hold := time.Duration(0)
-		if g.asksPeersFirst() {
-			hold = askHold
-		}
-		if _, err := g.askNews(ctx, peer.Target{Address: seed}, hold); err != nil {
-			g.log.V(1).Info("peer: a seed has no news", "seed", seed, "error", err.Error())
-		}
-		sleep(ctx, seedInterval)
-	}
-}
-
 // answerTime is how long a peer waits for the answer to a message, and so for how
 // long it may be sent. A write that nobody reads has no end of its own.
 func answerTime(first *peerpb.Envelope) time.Duration {
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -20,16 +20,26 @@
 	askGrace = 400 * time.Millisecond
 )
 
+// question is what news is asked of whom.
+type question struct {
+	from peer.Target
+	// hold is for how long the answer may be held back; 0 is a question of a VM
+	// that is not told regularly.
+	hold time.Duration
+	// depth is this VM's own in the tree of its region.
+	depth int
+}
+
 // askNews asks a VM for what this one lacks. What it confirms is at least as
 // new as the moment at which it answered, less the age that it gives; that
 // moment is not before the question was sent plus the time it was held. It
 // returns the greatest age that the peer gave of a kind that is watched.
-func (g *Gateway) askNews(ctx context.Context, from peer.Target, hold time.Duration) (oldest time.Duration, err error) {
-	ctx, cancel := context.WithTimeout(ctx, hold+askGrace)
+func (g *Gateway) askNews(ctx context.Context, q question) (oldest time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, q.hold+askGrace)
 	defer cancel()
 	sent := time.Now()
-	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: g.newsQuestion(from.VM, hold)}}
-	reply, err := g.peers.Call(ctx, from, message)
+	message := &peerpb.Envelope{Kind: &peerpb.Envelope_Sync{Sync: g.newsQuestion(q)}}
+	reply, err := g.peers.Call(ctx, q.from, message)
 	g.cfg.Metrics.PeerCall("sync", err)
 	g.knowledge.notePeer(err)
 	if err != nil {
@@ -38,13 +48,17 @@
 	answer := reply.GetSynced()
 	g.hearSpared(answer.GetSparedMillis())
 	g.hearLoads(answer.GetLoads())
-	if hold > 0 {
-		g.loadsMark.set(from.VM, answer.GetLoadsMark())
+	if q.hold > 0 {
+		g.loadsMark.set(q.from.VM, answer.GetLoadsMark())
 	}
 	g.balancer.table.Merge(fromBalanced(answer.GetBalanced()))
 	g.noteAbsence(time.Now())
 	for _, d := range answer.GetDeltas() {
-		g.mergeDelta(from.VM, fromDelta(d))
+		if d, err = unpack(d); err != nil {
+			g.log.Error(err, "peer: news cannot be read", "peer", q.from.VM, "kind", d.GetKind())
+			return 0, err
+		}
+		g.mergeDelta(q.from.VM, fromDelta(d))
 	}
 	g.confirmTold(answer, sent)
 	return g.oldestTold(answer), nil
@@ -52,12 +66,14 @@
 
 // newsQuestion is what this VM asks another one for news with. Only one that may
 // be held also tells what the VMs of a region share.
-func (g *Gateway) newsQuestion(vm string, hold time.Duration) *peerpb.Sync {
-	ask := &peerpb.Sync{Since: g.replicaRevisions(), HoldMillis: uint32(hold.Milliseconds()), TakesListed: true}
-	if hold > 0 {
+func (g *Gateway) newsQuestion(q question) *peerpb.Sync {
+	ask := &peerpb.Sync{
+		Since: g.replicaRevisions(), HoldMillis: uint32(q.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(q.depth),
+	}
+	if q.hold > 0 {
 		ask.Outcomes = toOutcomes(g.takeOutcomes())
 		ask.Loads = toLoads(g.loads.TakeWords())
-		ask.LoadsMark = g.loadsMark.of(vm)
+		ask.LoadsMark = g.loadsMark.of(q.from.VM)
 		ask.Balance = toBalance(g.balancer.table, g.balancer.meter.Take())
 	}
 	return ask
@@ -109,11 +125,11 @@
 // tell answers a VM that asks for news, at the latest after the time that it
 // allows. The returned function is to be called once the answer has been sent.
 func (g *Gateway) tell(ctx context.Context, ask *peerpb.Sync) (answer *peerpb.Synced, sent func()) {
-	if ask.GetHoldMillis() > 0 {
+	if ask.GetHoldMillis() > 0 && ask.GetDepth() <= 1 {
 		g.watchers.ask(time.Now())
 	}
 	g.hearOutcomes(ask.GetOutcomes())
-	g.hearLoads(ask.GetLoads())
+	g.passOnLoads(ask.GetLoads())
 	if b := ask.GetBalance(); b.GetRegion() == g.region() {
 		g.balancer.meter.Add(fromBalance(b))
 	}
@@ -147,7 +163,7 @@
 // hasNews reports whether an answer changes anything but revisions.
 func hasNews(answer *peerpb.Synced) bool {
 	for _, d := range answer.GetDeltas() {
-		if d.GetFull() || d.GetListed() || len(d.GetEvents()) > 0 {
+		if d.GetFull() || d.GetListed() || len(d.GetEvents()) > 0 || len(d.GetPacked()) > 0 {
 			return true
 		}
 	}
@@ -165,7 +181,7 @@
 			answer.AgeMillis[kind] = uint32(time.Since(confirmed).Milliseconds()) + 1
 		}
 		if d, ok := g.lacks(ask, kind); ok {
-			answer.Deltas = append(answer.Deltas, toDelta(d))
+			answer.Deltas = append(answer.Deltas, g.packs.delta(d, ask.GetTakesPacked()))
 		}
 	}
 	return answer, g.copies.bound(answer)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -48,9 +48,14 @@
 			g.waitDue(ctx, kind)
 			continue
 		}
+		g.gate.enter(ctx)
+		if hold, due = g.dueCall(kind); !due {
+			continue // A peer has told it meanwhile.
+		}
 		var err error
 		news, err = g.follow(ctx, kind, hold, forgotten)
 		forgotten = errors.Is(err, ErrForgotten)
+		g.gate.ended(err)
 		g.knowledge.noteStore(kind, err)
 		switch {
 		case err == nil && failures > 0:
@@ -62,7 +67,6 @@
 				g.log.Info("store: does not answer", "kind", kind, "error", err.Error())
 			}
 			failures++
-			sleep(ctx, backoff(failures))
 		}
 	}
 }
@@ -147,8 +151,11 @@
 		g.log.Error(err, "members: own entry")
 		return
 	}
-	for failures := 1; ctx.Err() == nil; failures++ {
-		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.MemberKind(), g.cfg.VM, entry); err == nil {
+	if !g.cfg.FirstStart {
+		g.neighbors.await(ctx) // They may show that the entry is there.
+	}
+	for failures := 1; ctx.Err() == nil && !g.listed(); failures++ {
+		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.MemberKind(), g.cfg.Codec.MemberName(g.vm()), entry); err == nil {
 			break
 		}
 		sleep(ctx, backoff(failures))
@@ -166,7 +173,10 @@
 			sleep(ctx, firstList)
 			continue
 		}
-		if objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval); err == nil {
+		g.gate.enter(ctx)
+		objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval)
+		g.gate.ended(err)
+		if err == nil {
 			g.replica.Reset(kind, objects, at)
 			sleep(ctx, wait)
 			wait = listInterval
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -5,12 +5,11 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/ryehill/ryehill/coordination/assign"
 	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/transport/peer"
 )
 
@@ -23,13 +22,21 @@
 	// what it knows must be young: one answer, and a call to the store from the
 	// farthest region.
 	newWatcherGrace = 2 * askHold
+	// headHold is for how long a root may hold the questions of the VMs that ask
+	// it for the others of their halls.
+	headHold = 150 * time.Millisecond
+	// perQuestion is how much older than its teller's knowledge a VM's own may be
+	// in calm: the hold of a question, and the way.
+	perQuestion = askHold + 150*time.Millisecond
+	// lastChoice is a width of a link below that of any VM.
+	lastChoice = -1
 )
 
-// watchers is who watches the store for whom. In each region the VMs ask one of
-// them for news, the same one as long as they see the same VMs; being asked
-// makes a VM watch. Nobody has to agree on who that is: two watchers cost a few
-// calls more, and where there is none each VM calls the store itself once its
-// replica is too old.
+// watchers is who watches the store for whom. The VMs of a region ask each other
+// for news along a tree (package tree), the same one as long as they see the same
+// VMs; being asked as its root makes a VM watch. Nobody has to agree on who that
+// is: two watchers cost a few calls more, and where there is none each VM calls
+// the store itself once its replica is too old.
 type watchers struct {
 	mu      sync.Mutex
 	asked   time.Time // when another VM last asked this one
@@ -86,23 +93,46 @@
 	w.wake = make(chan struct{})
 }
 
-// watcher returns the VM of this region that is to be asked for news; it may be
-// this one, and is if all are avoided.
-func (g *Gateway) watcher(now time.Time) membership.Member {
+// teller is the VM that this one asks for news.
+type teller struct {
+	membership.Member
+	// depth is this VM's own in the tree (package tree), 0 if the teller is this
+	// VM itself.
+	depth int
+	// inTree is set if the region has more VMs than one answers.
+	inTree bool
+}
+
+// hold returns for how long the teller may hold a question. The few VMs that ask a
+// root for others are told sooner, since each question on the way adds to the age
+// of what workers told.
+func (t teller) hold() time.Duration {
+	if t.inTree && t.depth == 1 {
+		return headHold
+	}
+	return askHold
+}
+
+// teller returns the VM of this region that is to be asked for news; it may be
+// this one, and is if all others are avoided.
+func (g *Gateway) teller(now time.Time) teller {
 	self := g.members.Self()
-	candidates := make(map[string]membership.Member)
-	var ids []string
-	for _, m := range append(g.live(), self) {
+	candidates := map[string]membership.Member{self.ID: self}
+	for _, m := range append(g.live(), g.unheard(now)...) {
 		if g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoided.has(m.ID, now) {
 			candidates[m.ID] = m
-			ids = append(ids, m.ID)
 		}
 	}
-	if len(ids) == 0 {
-		return self
+	vms := make([]tree.VM, 0, len(candidates))
+	for id, m := range candidates {
+		vm := tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps}
+		if id == self.ID && g.watchers.avoided.has(id, now) {
+			vm.LinkMbps = lastChoice
+		}
+		vms = append(vms, vm)
 	}
-	slices.Sort(ids)
-	return candidates[assign.Top("watcher/"+g.region(), slices.Compact(ids), 1)[0]]
+	place := tree.Of(self.ID, g.region(), vms)
+	return teller{Member: candidates[place.Parent], depth: place.Depth, inTree: len(vms) > tree.FanOut}
 }
 
 // choice is the VM that is asked for news, and since when.
@@ -120,20 +150,20 @@
 			continue
 		}
 		now := time.Now()
-		m := g.watcher(now)
-		if m.ID != chosen.vm {
-			chosen = choice{vm: m.ID, since: now}
+		t := g.teller(now)
+		if t.ID != chosen.vm {
+			chosen = choice{vm: t.ID, since: now}
 		}
-		g.watchers.choose(m.ID == g.cfg.VM)
-		age, err := g.followWatcher(ctx, m)
+		g.watchers.choose(t.ID == g.cfg.VM)
+		age, err := g.followTeller(ctx, t)
 		switch {
 		case err != nil:
-			g.log.Info("watchers: one does not answer", "peer", m.ID, "error", err.Error())
-			g.passOver(m, "no answer", now)
-		case g.watchers.avoided.has(m.ID, now): // This VM, as all are avoided.
-		case age > g.oldForWatcher() && now.Sub(chosen.since) > newWatcherGrace:
-			g.log.Info("watchers: what one knows is old", "peer", m.ID, "age_ms", age.Milliseconds())
-			g.passOver(m, "old knowledge", now)
+			g.log.Info("watchers: one does not answer", "peer", t.ID, "error", err.Error())
+			g.passOver(t.Member, "no answer", now)
+		case g.watchers.avoided.has(t.ID, now): // This VM, as all are avoided.
+		case age > g.oldForTeller(t) && now.Sub(chosen.since) > newWatcherGrace:
+			g.log.Info("watchers: what one knows is old", "peer", t.ID, "age_ms", age.Milliseconds())
+			g.passOver(t.Member, "old knowledge", now)
 		}
 	}
 }
@@ -144,22 +174,24 @@
 	g.cfg.Metrics.WatcherPassedOver(reason)
 }
 
-// followWatcher asks the region's watcher for news once. If that is this VM, it
-// waits a moment. It returns the age of the oldest knowledge that the watcher has.
-func (g *Gateway) followWatcher(ctx context.Context, m membership.Member) (time.Duration, error) {
-	if m.ID != g.cfg.VM {
-		return g.askNews(ctx, peer.Target{VM: m.ID, Address: m.Peer}, askHold)
+// followTeller asks a VM for news once. If that is this VM, it waits a moment. It
+// returns the age of the oldest knowledge that the teller has.
+func (g *Gateway) followTeller(ctx context.Context, t teller) (time.Duration, error) {
+	if t.ID != g.cfg.VM {
+		return g.askNews(ctx, question{from: peer.Target{VM: t.ID, Address: t.Peer}, hold: t.hold(), depth: t.depth})
 	}
 	g.takeOutcomes()
 	sleep(ctx, noWatcher)
 	return g.age(), nil
 }
 
-// oldForWatcher returns the age above which the knowledge of a watcher shows that
-// the store does not answer it: half-way between the longest hold of a watch and
+// oldForTeller returns the age above which the knowledge of a teller shows that the
+// store does not answer the root: half-way between the longest hold of a watch and
 // the age at which all VMs call the store themselves, but not less than a watch and
-// a slow store make of it in calm. VMs that disagree on the watcher do not hear what
-// they tell each other of workers.
-func (g *Gateway) oldForWatcher() time.Duration {
-	return max((g.cfg.WatchHold+g.cfg.StaleAfter)/2, g.cfg.WatchHold+2*askHold)
+// a slow store make of it in calm. VMs that disagree on the root do not hear what
+// they tell each other of workers. Further down, each question on the way adds to
+// the age, and those above are to find out first.
+func (g *Gateway) oldForTeller(t teller) time.Duration {
+	old := max((g.cfg.WatchHold+g.cfg.StaleAfter)/2, g.cfg.WatchHold+2*askHold)
+	return old + time.Duration(max(t.depth-1, 0))*perQuestion
 }
--- a/state/worker/words.go
+++ b/state/worker/words.go
@@ -11,6 +11,10 @@
 	leastWord = 2
 	// maxWords bounds the words of one message: 16 KB.
 	maxWords = 1024
+	// sameWord is how much younger a word may seem that is known already: its age
+	// does not count its way. Without it a word that comes back from the VM that
+	// was told of it is told to all once more.
+	sameWord = 20 * time.Millisecond
 )
 
 // Word is what a worker told of the requests that it runs and holds.
@@ -20,17 +24,30 @@
 	Age time.Duration
 }
 
-// Heard takes in what the worker told another VM, unless what is known is newer.
+// Heard takes in what the worker told another VM, unless what is known is as new.
 func (l *Load) Heard(w Word) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.hear(w)
+}
+
+// PassOn does the same, and returns the word with the next TakeWords.
+func (l *Load) PassOn(w Word) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fresh = l.hear(w) || l.fresh
+}
+
+// hear takes in a word under the lock and reports whether it is news.
+func (l *Load) hear(w Word) bool {
 	at := l.now().Add(-w.Age)
-	if !at.After(l.told) {
-		return
+	if !at.After(l.told.Add(sameWord)) {
+		return false
 	}
 	l.told, l.total = at, w.Requests
 	l.others = max(0, w.Requests-l.own)
 	l.number = l.numbers.Add(1)
+	return true
 }
 
 // word returns the worker's last word, if it still counts.
