ingress: VMs tell each other which workers are not reached or have ended

What the region's watcher finds was told, but a VM that had not dealt with the worker yet did not take it in. A request that reaches a VM which knows nothing yet waits for 1/24 of its client's patience, 0.12 to 0.6 s.

--- a/state/worker/outcomes.go
+++ b/state/worker/outcomes.go
@@ -12,6 +12,17 @@
 // the answers of about that time before it.
 const outcomeMemory = 4 * time.Second
 
+const (
+	// goneFailures is for how many failures the word of another worker at the
+	// address stands: enough for a worker to be spared by all VMs. Where each of
+	// 295 VMs found out by itself, 366 workers whose addresses had passed to
+	// others cost 1,778 requests in two seconds.
+	goneFailures = 3
+	// gonePause is for how long a worker that has ended gets nothing: the store
+	// drops its entry sooner.
+	gonePause = 30 * time.Second
+)
+
 // Outcomes are the exchanges with a worker that ended lately. A refusal is
 // neither: the worker has not run it.
 type Outcomes struct{ Answered, Failed uint32 }
@@ -36,6 +47,16 @@
 	l.outcomes.at = now
 }
 
+// Gone notes that another worker has the address of this one, which therefore has
+// ended. It gets nothing more, and counts as goneFailures, so that the other VMs
+// need not ask it to find out.
+func (l *Load) Gone() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes.failed += goneFailures
+	l.pausedTo = l.now().Add(gonePause)
+}
+
 // left returns how many answers have not faded.
 func (o outcomes) left(now time.Time) float64 {
 	return o.answered * math.Exp(-now.Sub(o.at).Seconds()/outcomeMemory.Seconds())
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -119,7 +119,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, in: r, out: w, arrived: time.Now(), id: h.cfg.Dialect.RequestID(r)}
-	snapshot := h.await(r.Context())
+	snapshot := h.await(r)
 	if snapshot == nil {
 		q.refuse(reasonNoConfig)
 		return
@@ -134,16 +134,32 @@
 	q.serve(snapshot)
 }
 
+const (
+	// awaitPart is the part of a client's patience for which its request waits at
+	// a VM that knows nothing yet. Clients wait six to eight times as long as an
+	// answer may take to be of full use, so a request that waits for all of it
+	// still has three quarters of that time.
+	awaitPart = 1.0 / 24
+	// leastAwait and mostAwait bound that time: a VM knows its fleet within 0.6 s
+	// of its start, or the store and its peers are away.
+	leastAwait = 120 * time.Millisecond
+	mostAwait  = 600 * time.Millisecond
+	// awaitLook is the time between two looks.
+	awaitLook = 5 * time.Millisecond
+)
+
 // await returns what is believed. A VM that has just started waits for a moment
 // until it knows anything: it is about to, and a refusal would use up one of the
 // few retries that clients have.
-func (h *Handler) await(ctx context.Context) *placement.Snapshot {
-	const moment, look = 120 * time.Millisecond, 5 * time.Millisecond
-	for waited := time.Duration(0); waited < moment && ctx.Err() == nil; waited += look {
+func (h *Handler) await(r *http.Request) *placement.Snapshot {
+	moment := leastAwait
+	if patience, ok := h.cfg.Dialect.Patience(r); ok {
+		moment = min(max(time.Duration(float64(patience)*awaitPart), leastAwait), mostAwait)
+	}
+	for begun := time.Now(); time.Since(begun) < moment && r.Context().Err() == nil; time.Sleep(awaitLook) {
 		if s := h.cfg.Snapshot(); s != nil {
 			return s
 		}
-		time.Sleep(look)
 	}
 	return h.cfg.Snapshot()
 }
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -53,6 +53,9 @@
 }
 
 func (plain) Refused(res *http.Response) (upstream.Kind, bool) {
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		return upstream.KindOther, true
+	}
 	return upstream.KindShed, res.Header.Get("Not-Run") != ""
 }
 
--- a/transport/ingress/outcome_test.go
+++ b/transport/ingress/outcome_test.go
@@ -18,12 +18,13 @@
 		behave func(w http.ResponseWriter, r *http.Request)
 		failed uint32
 	}{
-		"answered":                     {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }, 0},
-		"a refusal of the application": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) }, 0},
-		"an error of its own":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, 1},
-		"broken off":                   {func(w http.ResponseWriter, _ *http.Request) { reset(w) }, 1},
-		"its own time was over":        {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGatewayTimeout) }, 0},
-		"the client's time was over":   {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0},
+		"answered":                       {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }, 0},
+		"a refusal of the application":   {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusForbidden) }, 0},
+		"an error of its own":            {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, 1},
+		"broken off":                     {func(w http.ResponseWriter, _ *http.Request) { reset(w) }, 1},
+		"its own time was over":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGatewayTimeout) }, 0},
+		"another worker has its address": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }, 3},
+		"the client's time was over":     {func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0},
 		"it says that it has not run": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/transport/ingress/start_test.go
+++ b/transport/ingress/start_test.go
@@ -28,6 +28,29 @@
 	}
 }
 
+// How long a request waits for a VM that knows nothing yet is a small part of its
+// client's patience.
+func TestWaitAtAStartingVM(t *testing.T) {
+	cases := map[string]struct {
+		patience    string
+		least, most time.Duration
+	}{
+		"a client in a hurry": {"500", 100 * time.Millisecond, 300 * time.Millisecond},
+		"a patient one":       {"12000", 480 * time.Millisecond, 900 * time.Millisecond},
+		"one without end":     {"600000", 580 * time.Millisecond, time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1, ok)
+			f.setSnapshot(nil)
+			r := f.ask(http.MethodPost, "/pay/", "1", "", "Wait", c.patience)
+			if r.status != http.StatusServiceUnavailable || r.took < c.least || r.took > c.most {
+				t.Errorf("status %d after %s, want 503 after %s to %s", r.status, r.took, c.least, c.most)
+			}
+		})
+	}
+}
+
 // Workers whose machines are gone get no request, so passing them over costs
 // neither the request's tries nor the budget.
 func TestUnreachableWorkersCostNoTry(t *testing.T) {
@@ -47,5 +70,10 @@
 		if r := f.ask(http.MethodPost, "/pay/", fmt.Sprint(round), ""); r.status != http.StatusOK {
 			t.Fatalf("round %d: status %d", round, r.status)
 		}
+		for id, o := range f.loads.TakeOutcomes(gone) {
+			if o.Failed != 1 {
+				t.Errorf("%s: %+v, want one failure for other VMs to hear of", id, o)
+			}
+		}
 	}
 }
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -219,11 +219,15 @@
 	case upstream.KindLeaving:
 		f.cause = retry.CauseLeaving
 		c.Load().Failed()
-	case upstream.KindUnreachable, upstream.KindOther:
+	case upstream.KindUnreachable:
 		f.cause = retry.CauseUnreachable
 		if !left {
 			c.Load().Failed()
+			c.Load().Outcome(true)
 		}
+	case upstream.KindOther:
+		f.cause = retry.CauseUnreachable
+		c.Load().Gone()
 	case upstream.KindBroken:
 		if !left {
 			c.Load().Failed()
