placement, gateway: keys are handed over before their worker ends; choices cost less

Handing over. A worker that leaves works on for seconds. Change: until the time in which it may get requests is over, counted from the moment up to which the store is known to have said that it stays, one or two requests of a key go ahead to the next holder and the others stay. Cause: a placement among 1,047 workers copied and sorted all and asked each for its pauses: 528 us; taking in one change of 1,617 workers 1.73 ms, at each of 295 VMs. Now 41 us and 0.37 ms (BenchmarkPlace, BenchmarkCompile).

--- a/coordination/assign/assign.go
+++ b/coordination/assign/assign.go
@@ -43,23 +43,48 @@
 	return owners
 }
 
+// weighed is a VM with its weight for an item.
+type weighed struct {
+	vm     string
+	weight uint64
+}
+
+// compare orders the VM that an item prefers first.
+func (w weighed) compare(other weighed) int {
+	return cmp.Or(cmp.Compare(other.weight, w.weight), cmp.Compare(w.vm, other.vm))
+}
+
 // Ranked returns the VMs in order of preference for an item, best first.
 func Ranked(item string, vms []string) []string {
-	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(item, b), weight(item, a)), cmp.Compare(a, b))
-	})
+	list := weigh(item, vms)
+	slices.SortFunc(list, weighed.compare)
+	ranked := make([]string, len(list))
+	for i, w := range list {
+		ranked[i] = w.vm
+	}
 	return ranked
 }
 
 // Top returns the n best VMs for an item, or all if there are fewer.
 func Top(item string, vms []string, n int) []string {
+	if n == 1 && len(vms) > 0 {
+		return []string{slices.MinFunc(weigh(item, vms), weighed.compare).vm}
+	}
 	ranked := Ranked(item, vms)
 	return ranked[:min(n, len(ranked))]
 }
 
-func weight(item, vm string) uint64 {
-	h := xxhash.Sum64String(item)*0x9e3779b97f4a7c15 ^ xxhash.Sum64String(vm)
+// weigh returns the VMs with their weights for an item.
+func weigh(item string, vms []string) []weighed {
+	hash := xxhash.Sum64String(item) * 0x9e3779b97f4a7c15
+	list := make([]weighed, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, weighed{vm: vm, weight: mix(hash ^ xxhash.Sum64String(vm))})
+	}
+	return list
+}
+
+func mix(h uint64) uint64 {
 	h ^= h >> 32
 	h *= 0xd6e8feb86659fd93
 	return h ^ h>>32
--- a/coordination/placement/cold.go
+++ b/coordination/placement/cold.go
@@ -62,7 +62,7 @@
 
 // Take reports whether this VM may send one request to a cold worker now that
 // bears a rate, in requests a second, and counts it.
-func (c *Cold) Take(w worker.Worker, rate float64) bool {
+func (c *Cold) Take(w *worker.Worker, rate float64) bool {
 	if w.Region != c.cfg.Region {
 		return false
 	}
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -14,14 +14,14 @@
 // given no others.
 func (p *Placer) Fleet(s *Snapshot) balance.Fleet {
 	fleet := balance.Fleet{Workers: make(map[string][]balance.Worker)}
-	holding := make(map[string][]worker.Worker)
+	holding := make(map[string][]*worker.Worker)
 	for _, w := range s.Workers.All() {
 		if w.Leaving || s.Closed[w.Hall] || s.drained(w.Service, w.Hall) {
 			continue
 		}
 		load, known := p.cfg.Loads.Known(w.ID)
 		failing := known && (load.Paused() || load.Spared())
-		fleet.Workers[w.Service] = append(fleet.Workers[w.Service], balance.Worker{Worker: w, Full: failing || p.cold(s, w)})
+		fleet.Workers[w.Service] = append(fleet.Workers[w.Service], balance.Worker{Worker: *w, Full: failing || p.cold(s, w)})
 		holding[w.Service] = append(holding[w.Service], w)
 	}
 	fleet.Hashed = func(key demand.Key) (string, bool) {
@@ -31,7 +31,7 @@
 }
 
 // first returns the worker that hashing gives a key of a region's callers.
-func first(key demand.Key, regions []string, workers []worker.Worker) (id string, ok bool) {
+func first(key demand.Key, regions []string, workers []*worker.Worker) (id string, ok bool) {
 	region := shareOut(key.Region, regions, workers, Request{Service: key.Service, Key: key.Hash}).region
 	best := uint64(0)
 	for _, w := range workers {
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -24,7 +24,6 @@
 package placement
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -65,8 +64,11 @@
 type Snapshot struct {
 	Routes  *route.Table
 	Workers *worker.Set
-	// Closed are the halls whose workers must get nothing.
+	// Closed are the halls whose workers must get nothing, but until Closing says
+	// so.
 	Closed map[string]bool
+	// Closing is how long the workers of closed halls have left.
+	Closing map[string]worker.Ending
 	// WarmAt is until when the workers of a hall are taken as cold, whatever
 	// their own entries say.
 	WarmAt map[string]time.Time
@@ -90,7 +92,7 @@
 
 // Choice is a worker that was chosen. Its load has been counted.
 type Choice struct {
-	worker     worker.Worker
+	worker     *worker.Worker
 	load       *worker.Load
 	remote     bool
 	steered    string
@@ -117,8 +119,13 @@
 	return fmt.Sprintf("%s in %s: %.1f busy, room below %.1f", c.ID, c.Region, c.Busy, c.Room)
 }
 
-// Worker returns the chosen worker.
-func (c Choice) Worker() worker.Worker { return c.worker }
+// Worker returns the chosen worker, the zero one if none was chosen.
+func (c Choice) Worker() worker.Worker {
+	if c.worker == nil {
+		return worker.Worker{}
+	}
+	return *c.worker
+}
 
 // Load returns the worker's load, which the caller ends.
 func (c Choice) Load() *worker.Load { return c.load }
@@ -185,7 +192,7 @@
 	}
 	// Its own region is cold, say after a closed hall opened again: those that
 	// have held its keys meanwhile are warm.
-	warm := slices.DeleteFunc(eligible, func(w worker.Worker) bool { return p.cold(s, w) })
+	warm := slices.DeleteFunc(eligible, func(w *worker.Worker) bool { return p.cold(s, w) })
 	if len(warm) == 0 {
 		return choice, RefusalCold
 	}
@@ -200,7 +207,7 @@
 }
 
 // cold reports whether a worker is taken as cold.
-func (p *Placer) cold(s *Snapshot, w worker.Worker) bool {
+func (p *Placer) cold(s *Snapshot, w *worker.Worker) bool {
 	now := p.cfg.Now()
 	return now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
 }
@@ -226,21 +233,22 @@
 // eligible returns the workers that may get the request. Those that failed just
 // now are left out unless nothing else is there, and so are those that are
 // spared, unless these are too many.
-func (p *Placer) eligible(s *Snapshot, r Request) []worker.Worker {
+func (p *Placer) eligible(s *Snapshot, r Request) []*worker.Worker {
 	all := s.Workers.Service(r.Service)
-	usable := make([]worker.Worker, 0, len(all))
-	var paused, spared []worker.Worker
+	usable := make([]*worker.Worker, 0, len(all))
+	var paused, spared []*worker.Worker
+	now, limited := p.cfg.Now(), p.cfg.Loads.Limited()
 	for _, w := range all {
-		if w.Leaving || s.Closed[w.Hall] || slices.Contains(r.Tried, w.ID) || r.Allows != nil && !r.Allows(w.Region) {
+		if s.ended(w, now) || slices.Contains(r.Tried, w.ID) || r.Allows != nil && !r.Allows(w.Region) {
 			continue
 		}
 		if s.drained(r.Service, w.Hall) {
 			continue
 		}
-		switch load := p.cfg.Loads.Of(w.ID); {
-		case load.Paused():
+		switch load, ok := limited[w.ID]; {
+		case ok && load.Paused():
 			paused = append(paused, w)
-		case load.Spared():
+		case ok && load.Spared():
 			spared = append(spared, w)
 		default:
 			usable = append(usable, w)
@@ -255,66 +263,31 @@
 	return usable
 }
 
-// candidate is a worker with its weight for one key.
-type candidate struct {
-	worker worker.Worker
-	weight uint64
-}
-
-// ranked returns the workers of a region, best first for the request's key: the
-// one that the table names, then those that hashing gives it.
-func (p *Placer) ranked(r Request, workers []worker.Worker, region string) []candidate {
-	list := hashed(workers, region, r.Key)
-	if !r.Keyed {
-		return list
-	}
-	holder, ok := p.cfg.Holders.Holder(holders.KeyOf(r.Service, p.cfg.Region, r.Key))
-	if !ok {
-		return list
-	}
-	if at := slices.IndexFunc(list, func(c candidate) bool { return c.worker.ID == holder }); at > 0 {
-		held := list[at]
-		copy(list[1:at+1], list[:at])
-		list[0] = held
-	}
-	return list
-}
-
-// hashed returns the workers of a region, best first for a key by hashing.
-func hashed(workers []worker.Worker, region string, key uint64) []candidate {
-	list := make([]candidate, 0, len(workers))
-	for _, w := range workers {
-		if w.Region == region {
-			list = append(list, candidate{worker: w, weight: mix(key ^ w.Hash())})
-		}
-	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
-	return list
-}
-
 // choose takes the first holder of the key in a region while that has room, then
 // the second one if it is nearly idle. Cold workers hold no key yet; they get
 // what their rate allows.
-func (p *Placer) choose(s *Snapshot, r Request, workers []worker.Worker, region string) (Choice, Refusal) {
+func (p *Placer) choose(s *Snapshot, r Request, workers []*worker.Worker, region string) (Choice, Refusal) {
 	service, _ := s.Routes.Service(r.Service)
 	refusal, held := RefusalNoWorker, 0
 	var considered []Considered
-	for _, c := range p.ranked(r, workers, region) {
-		seen := Considered{ID: c.worker.ID, Hall: c.worker.Hall, Region: region, Cold: p.cold(s, c.worker)}
+	ranking := p.ranked(r, workers, region)
+	p.handOver(s, r, ranking)
+	for c, ok := ranking.next(); ok; c, ok = ranking.next() {
+		seen := Considered{ID: c.ID, Hall: c.Hall, Region: region, Cold: p.cold(s, c)}
 		if seen.Cold {
 			considered = append(considered, seen)
-			if p.cfg.Cold.Take(c.worker, service.ColdRate) {
-				return p.take(c.worker, considered), RefusalNone
+			if p.cfg.Cold.Take(c, service.ColdRate) {
+				return p.take(c, considered), RefusalNone
 			}
 			if held == 0 {
 				refusal = RefusalCold
 			}
 			continue // Another holds the key until this one is warm.
 		}
-		seen.Busy, seen.Room = p.cfg.Loads.Of(c.worker.ID).Busy(), holderRoom[held]*float64(c.worker.Slots)
+		seen.Busy, seen.Room = p.cfg.Loads.Of(c.ID).Busy(), holderRoom[held]*float64(c.Slots)
 		considered = append(considered, seen)
 		if seen.Busy < seen.Room {
-			return p.take(c.worker, considered), RefusalNone
+			return p.take(c, considered), RefusalNone
 		}
 		refusal = RefusalBusy
 		if held++; held == len(holderRoom) {
@@ -327,12 +300,12 @@
 // Room reports whether any warm worker in the VM's region that may get the
 // request has a free slot, whether it holds the request's key or not.
 func (p *Placer) Room(s *Snapshot, r Request) bool {
-	return slices.ContainsFunc(p.eligible(s, r), func(w worker.Worker) bool {
+	return slices.ContainsFunc(p.eligible(s, r), func(w *worker.Worker) bool {
 		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.ID).Busy() < float64(w.Slots)
 	})
 }
 
-func (p *Placer) take(w worker.Worker, considered []Considered) Choice {
+func (p *Placer) take(w *worker.Worker, considered []Considered) Choice {
 	load := p.cfg.Loads.Of(w.ID)
 	load.Begin()
 	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region, considered: considered}
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -305,7 +305,7 @@
 				vms = append(vms, placement.NewCold(placement.ColdConfig{VM: vm, Region: "north", Peers: seenBy{r, vm}, Now: clock.Now}))
 			}
 			for n := range 50 {
-				w := worker.Worker{ID: fmt.Sprintf("w%d", n), Region: "north"}
+				w := &worker.Worker{ID: fmt.Sprintf("w%d", n), Region: "north"}
 				const ticks = 100
 				sent := make([]int, 0, 3*ticks)
 				for range 3 * ticks {
@@ -383,7 +383,7 @@
 		sees[fmt.Sprint(i)] = []string{fmt.Sprint(i)}
 	}
 	r := &region{sees: sees}
-	w, sent := worker.Worker{ID: "w", Region: "north"}, 0
+	w, sent := &worker.Worker{ID: "w", Region: "north"}, 0
 	for vm := range sees {
 		cold := placement.NewCold(placement.ColdConfig{VM: vm, Region: "north", Peers: seenBy{r, vm}, Now: clock.Now})
 		for range 3 {
@@ -400,7 +400,7 @@
 // A VM that knows of no VM at all, not even itself, sends nothing.
 func TestColdWorkersGetNothingFromAVMThatKnowsNothing(t *testing.T) {
 	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: nobody{}, Now: time.Now})
-	if cold.Take(worker.Worker{ID: "w", Region: "north"}, 100) {
+	if cold.Take(&worker.Worker{ID: "w", Region: "north"}, 100) {
 		t.Error("it sent one")
 	}
 }
--- a/coordination/placement/share.go
+++ b/coordination/placement/share.go
@@ -13,12 +13,19 @@
 )
 
 // slotsByRegion sums the slots of workers by region.
-func slotsByRegion(workers []worker.Worker, regions int) (slots map[string]float64, total float64) {
+func slotsByRegion(workers []*worker.Worker, regions int) (slots map[string]float64, total float64) {
 	slots = make(map[string]float64, regions)
+	// Workers of one region follow each other for the most part.
+	region, sum := "", 0.0
 	for _, w := range workers {
-		slots[w.Region] += float64(w.Slots)
+		if w.Region != region {
+			slots[region] += sum
+			region, sum = w.Region, 0
+		}
+		sum += float64(w.Slots)
 		total += float64(w.Slots)
 	}
+	slots[region] += sum
 	return slots, total
 }
 
@@ -45,7 +52,7 @@
 // one that has fewer slots than that gives the rest of its keys to those that
 // have more, in proportion to what they have beyond their own part. The choice
 // depends on the key and the workers alone, so it moves only when these do.
-func shareOut(home string, regions []string, workers []worker.Worker, r Request) shared {
+func shareOut(home string, regions []string, workers []*worker.Worker, r Request) shared {
 	slots, total := slotsByRegion(workers, len(regions))
 	sources := 0
 	for _, region := range regions {
--- a/coordination/placement/steer.go
+++ b/coordination/placement/steer.go
@@ -35,7 +35,7 @@
 // out of the hall that holds it. A region without any worker gives everything:
 // that is no move, and no cap counts it. Neither is a request that is sent
 // again: it was counted before.
-func (p *Placer) destination(s *Snapshot, r Request, workers []worker.Worker) destination {
+func (p *Placer) destination(s *Snapshot, r Request, workers []*worker.Worker) destination {
 	placed := shareOut(p.cfg.Region, s.Regions, workers, r)
 	if !s.steers() || len(r.Tried) > 0 {
 		return p.placed(placed)
@@ -64,12 +64,12 @@
 
 // arrive counts a request at the hall whose worker would hold its key in a
 // region, and returns what may steer it out of there.
-func (p *Placer) arrive(s *Snapshot, r Request, workers []worker.Worker, region string) (c steer.Candidate, hall string) {
-	first := p.ranked(r, workers, region)
-	if len(first) == 0 {
+func (p *Placer) arrive(s *Snapshot, r Request, workers []*worker.Worker, region string) (c steer.Candidate, hall string) {
+	first, ok := p.ranked(r, workers, region).first()
+	if !ok {
 		return steer.Candidate{}, ""
 	}
-	hall = first[0].worker.Hall
+	hall = first.Hall
 	return p.cfg.Steerer.ArriveAt(s.Traffic, r.Service, hall, share.Key(r.Key)), hall
 }
 
@@ -85,9 +85,9 @@
 
 // chooseAt chooses a worker at a destination. If the target of a move has no
 // room the request runs where it would without the move.
-func (p *Placer) chooseAt(s *Snapshot, r Request, workers []worker.Worker, d destination) (Choice, Refusal) {
+func (p *Placer) chooseAt(s *Snapshot, r Request, workers []*worker.Worker, d destination) (Choice, Refusal) {
 	if d.hall != "" {
-		target := slices.DeleteFunc(slices.Clone(workers), func(w worker.Worker) bool { return w.Hall != d.hall })
+		target := slices.DeleteFunc(slices.Clone(workers), func(w *worker.Worker) bool { return w.Hall != d.hall })
 		if len(target) > 0 {
 			if choice, refusal := p.choose(s, r, target, target[0].Region); refusal == RefusalNone {
 				choice.steered, choice.moved = d.why, true
--- a/coordination/tree/tree_test.go
+++ b/coordination/tree/tree_test.go
@@ -94,3 +94,11 @@
 		t.Errorf("%d VMs ask another one, want those of one hall at most", moved)
 	}
 }
+
+// BenchmarkOf finds the place of a VM among the 99 of a region.
+func BenchmarkOf(b *testing.B) {
+	vms := region(3, 33, 3)
+	for b.Loop() {
+		tree.Of("h2-32", "north", vms)
+	}
+}
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ryehill/ryehill/coordination/placement"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/view"
@@ -23,14 +24,22 @@
 type compiler struct {
 	configRevision uint64
 	routes         *route.Table
-	workers        map[string]worker.Worker
+	workers        map[string]*worker.Worker
 	closed         map[string]bool
+	closing        map[string]worker.Ending
 	warmAt         map[string]time.Time
 	// traffic holds the operators' moves and caps, of a version.
 	traffic        *view.View
 	trafficVersion uint64
 }
 
+func newCompiler() compiler {
+	return compiler{
+		workers: make(map[string]*worker.Worker), closed: make(map[string]bool),
+		closing: make(map[string]worker.Ending), warmAt: make(map[string]time.Time),
+	}
+}
+
 // compileLoop makes a new snapshot whenever the replica has changed.
 func (g *Gateway) compileLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -68,7 +77,7 @@
 	g.compileClosed(c, now)
 	g.compileTraffic(c)
 	s := &placement.Snapshot{
-		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed),
+		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed), Closing: maps.Clone(c.closing),
 		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(), Traffic: c.traffic,
 	}
 	g.snapshot.Store(s)
@@ -102,15 +111,18 @@
 
 func (g *Gateway) compileClosed(c *compiler, now time.Time) {
 	closed := make(map[string]bool)
+	ending := g.ending(g.cfg.Codec.ClosedKind(), now)
 	for _, o := range g.replica.Objects(g.cfg.Codec.ClosedKind()) {
 		closed[o.Name] = true
 		if !c.closed[o.Name] {
+			c.closing[o.Name] = ending
 			g.log.Info("halls: closed", "hall", o.Name, "revision", o.Revision)
 		}
 	}
 	for hall := range c.closed {
 		if !closed[hall] {
 			c.warmAt[hall] = now.Add(reopenedCold)
+			delete(c.closing, hall)
 			g.log.Info("halls: open again", "hall", hall)
 		}
 	}
@@ -134,27 +146,36 @@
 	}
 }
 
+// ending returns how long those have left of which news of a kind says that they
+// end. The store took that after the moment up to which it is known to have said
+// otherwise.
+func (g *Gateway) ending(kind string, now time.Time) worker.Ending {
+	return worker.Ending{Heard: now, Until: g.replica.TakeChangedFrom(kind).Add(g.cfg.Bounds.ApplyWithin - applyMargin)}
+}
+
+// compileWorkers returns the workers as the replica has them. Those that have not
+// changed are the same ones as before: of 1,617 workers, one change takes 0.4 ms
+// in place of 1.7 (BenchmarkCompile), and 295 VMs take in each.
 func (g *Gateway) compileWorkers(c *compiler, now time.Time) *worker.Set {
+	ending := g.ending(g.cfg.Codec.WorkerKind(), now)
 	objects := g.replica.Objects(g.cfg.Codec.WorkerKind())
-	next := make(map[string]worker.Worker, len(objects))
-	list := make([]worker.Worker, 0, len(objects))
+	next := make(map[string]*worker.Worker, len(objects))
+	list := make([]*worker.Worker, 0, len(objects))
 	for _, o := range objects {
 		w, ok := c.workers[o.Name]
 		if !ok || w.Revision != o.Revision {
-			decoded, cold, err := g.cfg.Codec.Worker(o)
+			changed, err := g.compileWorker(o, w, ending)
 			if err != nil {
 				g.log.Error(err, "workers: entry not taken", "worker", o.Name)
 				continue
 			}
-			w = decoded
-			w.Region = g.cfg.Halls[w.Hall]
-			if cold > 0 {
-				w.ColdUntil = now.Add(cold)
-			}
+			w = changed
 		}
 		next[o.Name] = w
 		if c.traffic != nil && c.traffic.Leaving(w.ID) {
-			w.Leaving = true // An operator drains it.
+			drained := *w // By an operator.
+			drained.Leaving, drained.Ending = true, worker.Ending{}
+			w = &drained
 		}
 		list = append(list, w)
 	}
@@ -167,5 +188,26 @@
 		list = append(list, w)
 	}
 	c.workers = next
-	return worker.NewSet(list)
+	return worker.SetOf(list)
+}
+
+// compileWorker reads the entry of a worker, of which an earlier state may be known;
+// ending is for one that has begun to leave since.
+func (g *Gateway) compileWorker(o object.Object, before *worker.Worker, ending worker.Ending) (*worker.Worker, error) {
+	w, cold, err := g.cfg.Codec.Worker(o)
+	if err != nil {
+		return nil, err
+	}
+	w.Region = g.cfg.Halls[w.Hall]
+	if cold > 0 {
+		w.ColdUntil = ending.Heard.Add(cold)
+	}
+	if before != nil {
+		w.Ending = before.Ending
+		if w.Leaving && !before.Leaving {
+			w.Ending = ending
+		}
+	}
+	w.SetHash()
+	return &w, nil
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -7,9 +7,12 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/worker"
 )
 
 // FromBalanced and FromBalance read what peers send, for tests.
@@ -103,3 +106,18 @@
 
 // Unpacked returns a delta as it is sent to any VM.
 func Unpacked(d object.Delta) *peerpb.Delta { return toDelta(d) }
+
+// Compiler returns a function that takes in a change of workers, of which some are
+// known, and makes a snapshot as a VM does.
+func Compiler(codec Codec, known object.Delta) func(change object.Delta) {
+	known.Full = true
+	g := &Gateway{
+		cfg: Config{Codec: codec, Log: logr.Discard(), Halls: map[string]string{"kdy-b": "kandy"}},
+		log: logr.Discard(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(),
+	}
+	g.replica.Merge(known)
+	return func(change object.Delta) {
+		g.replica.Merge(change)
+		g.compileWorkers(&g.compiler, time.Now())
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 		cfg: cfg, log: cfg.Log, started: start,
 		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
 		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now),
-		compiler: compiler{workers: make(map[string]worker.Worker), closed: make(map[string]bool), warmAt: make(map[string]time.Time)},
+		compiler: newCompiler(),
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
 		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{},
--- a/internal/gateway/lapse_test.go
+++ b/internal/gateway/lapse_test.go
@@ -48,8 +48,8 @@
 
 func TestLapsedKeepsNoneThatLeave(t *testing.T) {
 	now := time.Now()
-	before := map[string]worker.Worker{"stays": {ID: "stays"}, "gone": {ID: "gone"}, "left": {ID: "left", Leaving: true}}
-	listed := map[string]worker.Worker{"stays": {ID: "stays"}}
+	before := map[string]*worker.Worker{"stays": {ID: "stays"}, "gone": {ID: "gone"}, "left": {ID: "left", Leaving: true}}
+	listed := map[string]*worker.Worker{"stays": {ID: "stays"}}
 	cases := map[string]struct {
 		graceEnd time.Time
 		want     int
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -19,7 +19,9 @@
 func (g *Gateway) takeOutcomes() map[string]worker.Outcomes {
 	outcomes := g.loads.TakeOutcomes(maxOutcomes)
 	g.judge.Add(outcomes)
-	g.spare(g.judge.Spared())
+	spared := g.judge.Spared()
+	g.tellSpared(spared)
+	g.spare(spared)
 	g.relayed.takeOutcomes(outcomes)
 	return outcomes
 }
@@ -35,11 +37,18 @@
 		if _, ok := s.Workers.Get(id); !ok {
 			continue
 		}
-		load := g.loads.Of(id)
-		if !load.Spared() {
+		g.loads.Of(id).Spare(left)
+	}
+}
+
+// tellSpared logs the workers that this VM itself finds to fail. Those of which others
+// tell it are logged there: 295 VMs would write 76,000 lines a minute in place of some
+// hundred.
+func (g *Gateway) tellSpared(workers map[string]time.Duration) {
+	for id, left := range workers {
+		if !g.loads.Of(id).Spared() {
 			g.log.Info("workers: one fails too much and is spared", "worker", id, "for_ms", left.Milliseconds())
 		}
-		load.Spare(left)
 	}
 }
 
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -55,8 +55,8 @@
 off most-spared coordination/placement/placement.go 'if float64(len(spared)) > mostSpared' 'if false && float64(len(spared)) > mostSpared' ./coordination/placement TestSparedWorkers
 off time-over-is-no-failure transport/ingress/try.go 'return errors.Is(err, context.DeadlineExceeded) ||' 'return false && errors.Is(err, context.DeadlineExceeded) &&' ./transport/ingress TestOutcomesOfWorkers
 off soak-once coordination/retry/retry.go 'case !t.NotRun && !t.Repeatable:' 'case false:' ./platform 'TestSoak$'
-off soak-drain coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if s.Closed[w.Hall] ||' ./platform 'TestSoak$'
-off soak-closed coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if w.Leaving ||' ./platform 'TestSoak$'
+off soak-drain coordination/placement/handover.go 'w.Leaving && !w.Ending.Open(now) ||' '' ./platform 'TestSoak$'
+off soak-closed coordination/placement/handover.go '|| s.Closed[w.Hall] && !s.Closing[w.Hall].Open(now)' '' ./platform 'TestSoak$'
 off soak-stop internal/gateway/stop.go 'if err := g.front.Shutdown(ctx); err != nil {' 'if err := g.front.Close(); err != nil {' ./platform 'TestSoak$'
 off holders-stay coordination/balance/balance.go 'if ok && held.worker.Region == l.worker.Region {' 'if ok {' ./coordination/balance TestKeysStayInTheirRegion
 off holders-table coordination/placement/placement.go 'if !r.Keyed {
@@ -81,7 +81,7 @@
 off unsent-is-free coordination/retry/retry.go 'case t.Home, t.Unsent && t.Number < maxUnsent:' 'case t.Home:' ./transport/ingress TestUnreachableWorkersCostNoTry
 off cold-owner coordination/placement/cold.go 'if len(owner) == 0 || owner[0] != c.cfg.VM {' 'if len(owner) == 0 {' ./coordination/placement TestColdRateOfAllVMs
 off cold-isolated coordination/placement/cold.go 'if 2*len(live) < listed {' 'if false && 2*len(live) < listed {' ./coordination/placement 'TestColdRateOfAllVMs|TestColdRateOfManyThatAreAlone'
-off closed-halls coordination/placement/placement.go 'if w.Leaving || s.Closed[w.Hall] ||' 'if w.Leaving ||' ./coordination/placement TestWhoGetsNothing
+off closed-halls coordination/placement/handover.go '|| s.Closed[w.Hall] && !s.Closing[w.Hall].Open(now)' '' ./coordination/placement TestWhoGetsNothing
 off homes coordination/placement/placement.go 'r.Allows != nil && !r.Allows(w.Region) {' 'r.Allows != nil && r.Allows == nil {' ./coordination/placement TestRegionsShare
 off split-corrects coordination/placement/split.go 'if ahead[own] > splitSlack {' 'if false && ahead[own] > splitSlack {' ./coordination/placement TestSplit
 off stale-calls-store internal/gateway/watch.go 'case time.Since(g.replica.Confirmed(kind)) >= g.cfg.StaleAfter:' 'case time.Since(g.replica.Confirmed(kind)) >= 100*g.cfg.StaleAfter:' ./internal/gateway TestChangesDoNotRestOnTheWatcher
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -24,7 +24,13 @@
 	at        uint64
 	content   uint64 // the revision at which anything last changed
 	confirmed time.Time
-	objects   map[string]Object
+	// changedFrom is the earliest confirmed at a change that was not taken yet, and
+	// fresh is set if there is one.
+	changedFrom time.Time
+	fresh       bool
+	objects     map[string]Object
+	// names are those of the objects, in order.
+	names []string
 	// history holds changes in the order in which they were heard; it is
 	// complete from revision oldest on, but for the gaps.
 	history []change
@@ -89,6 +95,13 @@
 	return k.replace(d, names)
 }
 
+// noteChange remembers from when on a change may have come that was not taken yet.
+func (k *kind) noteChange() {
+	if from := k.confirmed; !k.fresh || from.Before(k.changedFrom) {
+		k.fresh, k.changedFrom = true, from
+	}
+}
+
 // replace takes in the state of all objects at a revision: the events, and of
 // what was held before only the named ones.
 //
@@ -143,8 +156,15 @@
 		return false
 	case e.Gone:
 		delete(k.objects, e.Name)
+		if at, found := slices.BinarySearch(k.names, e.Name); found {
+			k.names = slices.Delete(k.names, at, at+1)
+		}
 		e.Spec = nil
 	default:
+		if !ok {
+			at, _ := slices.BinarySearch(k.names, e.Name)
+			k.names = slices.Insert(k.names, at, e.Name)
+		}
 		k.objects[e.Name] = e.Object
 	}
 	k.record(e, at)
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -67,6 +67,9 @@
 	k := r.kind(d.Kind)
 	k.mu.Lock()
 	changed := k.merge(d)
+	if changed {
+		k.noteChange()
+	}
 	k.mu.Unlock()
 	if changed {
 		r.signal()
@@ -98,7 +101,11 @@
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return sorted(k.objects)
+	objects := make([]Object, 0, len(k.names))
+	for _, name := range k.names {
+		objects = append(objects, k.objects[name])
+	}
+	return objects
 }
 
 // Since returns what a peer lacks that is complete up to a revision, as little as
@@ -134,6 +141,18 @@
 	return k.doubted
 }
 
+// TakeChangedFrom returns the moment up to which the store is known to have said
+// that a kind was as it was before the changes since the last call. The changes came
+// after it. It is the zero time if there were none, or if nothing is known.
+func (r *Replica) TakeChangedFrom(name string) time.Time {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	from := k.changedFrom
+	k.changedFrom, k.fresh = time.Time{}, false
+	return from
+}
+
 // Confirm notes that the store said at a moment that a kind was complete.
 func (r *Replica) Confirm(name string, when time.Time) {
 	k := r.kind(name)
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -29,6 +29,8 @@
 	now    func() time.Time
 	heard  atomic.Uint64 // numbers the words in the order in which they came
 	shards [shardCount]shard
+
+	limits limits
 }
 
 type shard struct {
@@ -52,7 +54,7 @@
 	defer s.mu.Unlock()
 	load, ok := s.loads[id]
 	if !ok {
-		load = &Load{now: l.now, numbers: &l.heard}
+		load = &Load{id: id, now: l.now, numbers: &l.heard, limits: &l.limits}
 		s.loads[id] = load
 	}
 	return load
@@ -69,6 +71,7 @@
 
 // Keep forgets the idle workers that the function does not want kept.
 func (l *Loads) Keep(wanted func(id string) bool) {
+	l.limits.keep(func(load *Load) bool { return wanted(load.id) && (load.Paused() || load.Spared()) })
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
@@ -84,8 +87,10 @@
 // Load is what this VM knows of how busy one worker is. It is safe for
 // concurrent use.
 type Load struct {
+	id      string
 	now     func() time.Time
 	numbers *atomic.Uint64
+	limits  *limits
 
 	mu       sync.Mutex
 	own      int // requests of this VM under way
@@ -151,6 +156,7 @@
 	pause := min(firstPause<<min(l.failures, 8), longestPause)
 	l.failures++
 	l.pausedTo = l.now().Add(pause)
+	l.limits.add(l)
 }
 
 // Answered notes that the worker answered, and ends a pause.
--- a/state/worker/outcomes.go
+++ b/state/worker/outcomes.go
@@ -55,6 +55,7 @@
 	defer l.mu.Unlock()
 	l.outcomes.failed += goneFailures
 	l.pausedTo = l.now().Add(gonePause)
+	l.limits.add(l)
 }
 
 // left returns how many answers have not faded.
@@ -68,6 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sparedTo = l.now().Add(left)
+	l.limits.add(l)
 }
 
 // Spared reports whether the worker is spared.
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -33,8 +33,11 @@
 	Region  string
 	// Slots is how many requests it works on at a time.
 	Slots int
-	// Leaving is set if it must get no new requests.
+	// Leaving is set if it must get no new requests, but until Ending says so.
 	Leaving bool
+	// Ending says when this VM heard that the worker leaves. The zero value is a
+	// worker that gets nothing from the moment on in which it leaves.
+	Ending Ending
 	// ColdUntil is when it will be warm; the zero time is warm.
 	ColdUntil time.Time
 	// Revision is that of the store's entry.
@@ -43,41 +46,71 @@
 	hash uint64
 }
 
-// Hash returns a hash of the id, by which keys are ranked. It is set by NewSet.
+// Ending is the time that a worker has left of which it is known that it leaves, or
+// that its hall is closed.
+type Ending struct {
+	// Heard is when this VM heard of it.
+	Heard time.Time
+	// Until is up to when it may get requests.
+	Until time.Time
+}
+
+// Open reports whether the worker may get requests still.
+func (e Ending) Open(now time.Time) bool { return now.Before(e.Until) }
+
+// Hash returns a hash of the id, by which keys are ranked. It is set by NewSet and
+// SetHash.
 func (w *Worker) Hash() uint64 { return w.hash }
 
-// Set holds workers by service. It is safe for concurrent use.
+// SetHash sets what Hash returns.
+func (w *Worker) SetHash() { w.hash = xxhash.Sum64String(w.ID) }
+
+// Set holds workers by service. It is safe for concurrent use; the workers must not
+// be changed.
 type Set struct {
-	services map[string][]Worker
-	byID     map[string]Worker
+	services map[string][]*Worker
+	byID     map[string]*Worker
 }
 
-// NewSet returns a set.
+// NewSet returns a set of copies.
 func NewSet(workers []Worker) *Set {
-	s := &Set{services: make(map[string][]Worker), byID: make(map[string]Worker, len(workers))}
+	list := make([]*Worker, 0, len(workers))
+	for _, w := range workers {
+		w.SetHash()
+		list = append(list, &w)
+	}
+	return SetOf(list)
+}
+
+// SetOf returns a set of workers whose hashes are set, and which must not be changed
+// from then on.
+func SetOf(workers []*Worker) *Set {
+	s := &Set{services: make(map[string][]*Worker), byID: make(map[string]*Worker, len(workers))}
 	for _, w := range workers {
-		w.hash = xxhash.Sum64String(w.ID)
 		s.services[w.Service] = append(s.services[w.Service], w)
 		s.byID[w.ID] = w
 	}
+	byID := func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) }
 	for _, list := range s.services {
-		slices.SortFunc(list, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+		if !slices.IsSortedFunc(list, byID) {
+			slices.SortFunc(list, byID)
+		}
 	}
 	return s
 }
 
-// Service returns the workers of a service in order of their ids. The slice
-// must not be changed.
-func (s *Set) Service(name string) []Worker { return s.services[name] }
+// Service returns the workers of a service in order of their ids. The slice and the
+// workers must not be changed.
+func (s *Set) Service(name string) []*Worker { return s.services[name] }
 
 // Get returns a worker by its id.
-func (s *Set) Get(id string) (Worker, bool) {
+func (s *Set) Get(id string) (*Worker, bool) {
 	w, ok := s.byID[id]
 	return w, ok
 }
 
 // All returns all workers, in no order.
-func (s *Set) All() []Worker { return slices.Collect(maps.Values(s.byID)) }
+func (s *Set) All() []*Worker { return slices.Collect(maps.Values(s.byID)) }
 
 // Len returns how many workers there are.
 func (s *Set) Len() int { return len(s.byID) }
--- a/transport/ingress/start_test.go
+++ b/transport/ingress/start_test.go
@@ -57,7 +57,10 @@
 	const gone, rounds = 3, 12
 	for round := range rounds {
 		f := newFixture(t, 1, ok)
-		workers := append([]worker.Worker{}, f.snapshot.Workers.Service("s")...)
+		workers := make([]worker.Worker, 0, gone+1)
+		for _, w := range f.snapshot.Workers.Service("s") {
+			workers = append(workers, *w)
+		}
 		for i := range gone {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
