gateway: VMs that tell nobody call a store that fails less often

Weighed: one VM of a region calls and the others wait for its word (a VM cut off from it would never call). Change: the VM that would be the root if none were avoided calls as before, the others wait up to 2 s.

--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -22,10 +22,10 @@
 	next     time.Time
 }
 
-// enter waits until a call may be made.
-func (g *gate) enter(ctx context.Context) {
+// enter waits until a call may be made, after failures up to the longest wait.
+func (g *gate) enter(ctx context.Context, longest time.Duration) {
 	for ctx.Err() == nil {
-		wait := g.reserve(time.Now())
+		wait := g.reserve(time.Now(), longest)
 		if wait <= 0 {
 			return
 		}
@@ -36,16 +36,19 @@
 
 // reserve takes the next place for a call if its time has come, and else returns how
 // long that takes.
-func (g *gate) reserve(now time.Time) time.Duration {
+func (g *gate) reserve(now time.Time, longest time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.failures == 0 {
 		return 0
 	}
+	if g.next.IsZero() {
+		g.next = now.Add(backoff(g.failures, longest))
+	}
 	if wait := g.next.Sub(now); wait > 0 {
 		return wait
 	}
-	g.next = now.Add(backoff(g.failures))
+	g.next = now.Add(backoff(g.failures, longest))
 	return 0
 }
 
@@ -58,5 +61,5 @@
 		return
 	}
 	g.failures++
-	g.next = time.Now().Add(backoff(g.failures))
+	g.next = time.Time{} // Drawn by the next one that waits.
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -17,6 +17,10 @@
 	// firstRetry and longestRetry bound the wait after a failed call.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 600 * time.Millisecond
+	// longestPatience bounds it for VMs that tell nobody what the store says. Those
+	// that do are told first when it answers again, and tell the others. With
+	// longestRetry for all, 295 VMs made 4,350 calls in the 8 s of an outage.
+	longestPatience = 2 * time.Second
 	// listInterval is how often a watcher reads a kind that is not watched, as
 	// a stale list.
 	listInterval = 10 * time.Second
@@ -48,7 +52,7 @@
 			g.waitDue(ctx, kind)
 			continue
 		}
-		g.gate.enter(ctx)
+		g.gate.enter(ctx, g.longestWait())
 		if hold, due = g.dueCall(kind); !due {
 			continue // A peer has told it meanwhile.
 		}
@@ -137,11 +141,19 @@
 	return len(events) > 0, nil
 }
 
-// backoff grows with the failures in a row and is spread, so that VMs do not
-// come back together.
-func backoff(failures int) time.Duration {
-	longest := min(firstRetry<<min(failures-1, 8), longestRetry)
-	return longest/2 + rand.N(longest/2)
+// backoff grows with the failures in a row up to a longest wait, and is spread, so
+// that VMs do not come back together.
+func backoff(failures int, longest time.Duration) time.Duration {
+	wait := min(firstRetry<<min(failures-1, 8), longest)
+	return wait/2 + rand.N(wait/2)
+}
+
+// longestWait returns the longest wait of this VM between two calls that fail.
+func (g *Gateway) longestWait() time.Duration {
+	if _, known := g.replica.At(g.cfg.Codec.WorkerKind()); !known || g.leads(time.Now()) {
+		return longestRetry
+	}
+	return longestPatience
 }
 
 // memberLoop writes this VM's own entry once, then reads those of all.
@@ -158,7 +170,7 @@
 		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.MemberKind(), g.cfg.Codec.MemberName(g.vm()), entry); err == nil {
 			break
 		}
-		sleep(ctx, backoff(failures))
+		sleep(ctx, backoff(failures, longestRetry))
 	}
 	g.listLoop(ctx, g.cfg.Codec.MemberKind())
 }
@@ -173,7 +185,7 @@
 			sleep(ctx, firstList)
 			continue
 		}
-		g.gate.enter(ctx)
+		g.gate.enter(ctx, g.longestWait())
 		objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval)
 		g.gate.ended(err)
 		if err == nil {
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -116,17 +116,29 @@
 // teller returns the VM of this region that is to be asked for news; it may be
 // this one, and is if all others are avoided.
 func (g *Gateway) teller(now time.Time) teller {
+	return g.tellerAmong(now, func(id string) bool { return g.watchers.avoided.has(id, now) })
+}
+
+// leads reports whether this VM would be the root of its region if none were avoided:
+// while the store answers nobody, all are.
+func (g *Gateway) leads(now time.Time) bool {
+	return g.tellerAmong(now, func(string) bool { return false }).ID == g.cfg.VM
+}
+
+// tellerAmong returns the VM of this region that is to be asked for news among those
+// that are not to be avoided.
+func (g *Gateway) tellerAmong(now time.Time, avoided func(id string) bool) teller {
 	self := g.members.Self()
 	candidates := map[string]membership.Member{self.ID: self}
 	for _, m := range append(g.live(), g.unheard(now)...) {
-		if g.cfg.Halls[m.Hall] == g.region() && !g.watchers.avoided.has(m.ID, now) {
+		if g.cfg.Halls[m.Hall] == g.region() && !avoided(m.ID) {
 			candidates[m.ID] = m
 		}
 	}
 	vms := make([]tree.VM, 0, len(candidates))
 	for id, m := range candidates {
 		vm := tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps}
-		if id == self.ID && g.watchers.avoided.has(id, now) {
+		if id == self.ID && avoided(id) {
 			vm.LinkMbps = lastChoice
 		}
 		vms = append(vms, vm)
