--- a/internal/gateway/deep_test.go
+++ b/internal/gateway/deep_test.go
@@ -19,6 +19,8 @@
 	wideLink, narrowLink = 200, 20 // Mbit/s.
 	// wideVMs is how many VMs of a hall have wide links.
 	wideVMs = 2
+	// inHall is how many VMs a hall has: two halls have more than one answers.
+	inHall = 18
 )
 
 // deepFleet has two halls of one region, together with more VMs than one answers.
@@ -27,8 +29,8 @@
 	vms []*vm
 }
 
-// startDeep starts a fleet with so many VMs in each hall.
-func startDeep(t *testing.T, inHall int, change func(*gateway.Config, *door)) deepFleet {
+// startDeep starts a fleet with inHall VMs in each of two halls.
+func startDeep(t *testing.T, change func(*gateway.Config, *door)) deepFleet {
 	f := deepFleet{fleet: newFleet(t)}
 	f.worker("w1", "s", "north-a")
 	for i := range 2 * inHall {
@@ -71,7 +73,7 @@
 // In a region with more VMs than one answers, one VM with a wide link watches the
 // store for all, changes are in force everywhere soon, and knowledge stays young.
 func TestDeepTree(t *testing.T) {
-	f := startDeep(t, 18, nil)
+	f := startDeep(t, nil)
 	f.settle()
 	time.Sleep(3 * time.Second) // Those that were asked before go on for 2 s.
 	watching := make(map[string]int)
@@ -103,7 +105,7 @@
 
 // What a worker told one VM, and that one has ended, is known in the other hall.
 func TestWordsCrossADeepTree(t *testing.T) {
-	f := startDeep(t, 18, nil)
+	f := startDeep(t, nil)
 	f.settle()
 	const busy = 9
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -125,7 +127,7 @@
 // take over within a second or two, and the others of the region do not turn to the
 // store.
 func TestDeepTreeHeals(t *testing.T) {
-	f := startDeep(t, 18, nil)
+	f := startDeep(t, nil)
 	f.settle()
 	time.Sleep(time.Second)
 	for version := uint64(2); version < 4; version++ {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -359,6 +359,7 @@
 	running, err := strconv.Atoi(h.Get("Running"))
 	return running, 0, err == nil
 }
+
 func (dialect) Refused(res *http.Response) (upstream.Kind, bool) {
 	return upstream.KindOther, res.StatusCode == http.StatusMisdirectedRequest
 }
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -15,9 +15,9 @@
 // When all VMs come back at once, one of each hall lists the store and tells the
 // others, which serve soon although their links are small.
 func TestAllVMsReturnAtOnce(t *testing.T) {
-	const inHall, workers = 18, 1600
+	const workers = 1600
 	before := make(map[string]gateway.Config)
-	f := startDeep(t, inHall, func(cfg *gateway.Config, _ *door) { before[cfg.VM] = *cfg })
+	f := startDeep(t, func(cfg *gateway.Config, _ *door) { before[cfg.VM] = *cfg })
 	for i := range workers {
 		f.store.put(kindWorkers, fmt.Sprintf("i-%05d", i*7919%workers), worker.Worker{
 			Service: "s", Hall: "north-b", Slots: 9, Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,18 +44,18 @@
 func (g *Gateway) watchLoop(ctx context.Context, kind string) {
 	failures, forgotten, news := 0, false, false
 	for ctx.Err() == nil {
-		hold, due := g.dueCall(kind)
-		if news {
-			hold = min(hold, afterNews)
-		}
-		if !due {
+		if _, due := g.dueCall(kind); !due {
 			g.waitDue(ctx, kind)
 			continue
 		}
 		g.gate.enter(ctx, g.longestWait())
-		if hold, due = g.dueCall(kind); !due {
+		hold, due := g.dueCall(kind)
+		if !due {
 			continue // A peer has told it meanwhile.
 		}
+		if news {
+			hold = min(hold, afterNews)
+		}
 		var err error
 		news, err = g.follow(ctx, kind, hold, forgotten)
 		forgotten = errors.Is(err, ErrForgotten)
