--- a/internal/gateway/lapse.go
+++ b/internal/gateway/lapse.go
@@ -18,7 +18,7 @@
 	// lapseGrace is for how long after the store's return an entry that is
 	// missing from it is still believed. Workers cannot renew their entries
 	// while the store is away; those that live have written them again by then
-	// (the platform's operators, issue 14).
+	// (the platform's operators).
 	lapseGrace = 2 * time.Second
 )
 
