ratelimit: each VM has a part of a workspace's allowance, and lends a part to its region

Cause: quotas bind over all VMs in every window, in touch or not, and no VM sees more than a 74th of a workspace's requests. Sliding windows in place of token buckets were ruled out: a VM that starts again does not know what its earlier life let run.

--- /dev/null
+++ b/coordination/ratelimit/ratelimit.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package ratelimit bounds what each workspace has run at all VMs together, in
+// every window of time, whichever VMs can talk to each other.
+//
+// A VM that is cut off must not pass its part, so a workspace's allowance of a
+// window is divided among the VMs that are listed. The larger part of each piece is
+// the VM's own, and needs nobody's word. The rest is lent to one VM of the region,
+// its Pool, which grants it, request by request, to VMs whose own part is used up;
+// pieces too small for one request are lent whole. A pool has no more than was lent
+// to it, and two VMs that both take themselves for the pool divide it: nothing has
+// to be agreed on, and nothing is kept. Every part is a token bucket that starts
+// empty, so a VM that starts again adds nothing to what its earlier life let run.
+//
+// The package does no I/O.
+//
+// # Usage
+//
+//	own := ratelimit.NewOwn(ratelimit.Config{Bounds: bounds, VMs: listed, Now: time.Now})
+//	if !own.Take("schools", limit) { /* ask the pool: Borrower.Take */ }
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/ryehill/ryehill/state/workspace"
+)
+
+// Bounds are what the fleet's operators hold quotas to: in no window may more run
+// than (rate x window + burst) x (1 + overage) + slack.
+type Bounds struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+const (
+	// usedTolerance is the part of overage and slack that is handed out. The rest is
+	// kept for VMs that are not listed yet (one more of 74 is 1.4 %) and for
+	// requests that reach their worker some time after they were let pass.
+	usedTolerance = 0.7
+	// mostFlowing is the part of an allowance at most that comes little by little. What
+	// is kept of it may run at once, without which an allowance does not bear that
+	// callers come by chance.
+	mostFlowing = 0.85
+	// ownPart is the part of a VM's piece that is its own, where the piece is large
+	// enough: callers spread over VMs by chance, and the pool evens that out.
+	ownPart = 0.6
+	// leastPiece is the least piece, in requests a window, of which a part is the VM's
+	// own. A smaller own part lets one request run in a while, of which half goes
+	// unused, and the pool has too little left: with 74 VMs and limits of 20 to 28 a
+	// second, workspaces that asked for two fifths of their limits had up to a tenth
+	// refused while pieces from 1.8 on were divided.
+	leastPiece = 4
+	// GrantFor is for how long a grant of the pool may be used. What is granted
+	// counts at the pool when it is granted, so this lengthens the window.
+	GrantFor = 500 * time.Millisecond
+)
+
+// flow is what a token bucket gets a second, and the most it holds.
+type flow struct{ rate, capacity float64 }
+
+// perWindow returns how many requests all VMs may let run in a window.
+func (b Bounds) perWindow(l workspace.Limit) float64 {
+	nominal := l.Rate*b.Window.Seconds() + l.Burst
+	return nominal + usedTolerance*(nominal*b.Overage+b.Slack)
+}
+
+// flowOf makes a bucket of an amount a window, which lasts for a time: whatever it
+// held at the start of the time and gets until its end is the amount.
+func flowOf(amount, rate float64, lasts time.Duration) flow {
+	rate = min(rate, mostFlowing*amount/lasts.Seconds())
+	return flow{rate: rate, capacity: amount - rate*lasts.Seconds()}
+}
+
+// divide returns a VM's own bucket, and the one that it lends, of a workspace's
+// allowance that is divided among a number of VMs.
+func (b Bounds) divide(l workspace.Limit, vms int) (own, lent flow) {
+	if vms < 1 || l.None() {
+		return flow{}, flow{}
+	}
+	piece := b.perWindow(l) / float64(vms)
+	rate := l.Rate / float64(vms)
+	if piece < leastPiece {
+		return flow{}, flowOf(piece, rate, b.Window+GrantFor)
+	}
+	own = flowOf(ownPart*piece, ownPart*rate, b.Window)
+	if own.capacity < 1 {
+		own = flow{rate: (ownPart*piece - 1) / b.Window.Seconds(), capacity: 1}
+	}
+	return own, flowOf((1-ownPart)*piece, (1-ownPart)*rate, b.Window+GrantFor)
+}
+
+// bucket is a token bucket. The zero value is empty and was never filled.
+type bucket struct {
+	level  float64
+	filled time.Time
+}
+
+// fill adds what came since the last call. A bucket that was never filled stays
+// empty.
+func (b *bucket) fill(f flow, now time.Time) {
+	if !b.filled.IsZero() && now.After(b.filled) {
+		b.level += f.rate * now.Sub(b.filled).Seconds()
+	}
+	b.level = min(b.level, f.capacity)
+	b.filled = now
+}
+
+// take takes tokens, as many whole ones as there are, up to a number.
+func (b *bucket) take(most int) int {
+	n := min(int(b.level), most)
+	b.level -= float64(n)
+	return n
+}
+
+// wait returns after what time there is a whole token, or the longest time if there
+// never is.
+func (b *bucket) wait(f flow, longest time.Duration) time.Duration {
+	if b.level >= 1 {
+		return 0
+	}
+	if f.capacity < 1 || f.rate <= 0 {
+		return longest
+	}
+	return min(time.Duration((1-b.level)/f.rate*float64(time.Second)), longest)
+}
