ingress, gateway: requests belong to workspaces, by their API keys

Change: the adapter reads workspaces, a faulty list refuses the configuration whole; the ingress finds the workspace by a digest of the key, answers 401 to keys that nobody has after one bounded question to the VM that tells news, 503 where a key may be newer than what it knows, names the workspace to workers and takes the key off; homes of route and workspace both bind; quotas by package ratelimit, 429 with a time; strict revocation.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -67,6 +67,7 @@
 
 func (g *Gateway) compile(now time.Time) {
 	c := &g.compiler
+	config := g.replica.Content(g.cfg.Codec.ConfigKind())
 	g.compileMembers()
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.At(g.cfg.Codec.WorkerKind())
@@ -81,6 +82,7 @@
 		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(), Traffic: c.traffic,
 	}
 	g.snapshot.Store(s)
+	g.compiledConfig.Store(config)
 	g.loads.Keep(func(id string) bool { _, ok := s.Workers.Get(id); return ok })
 	if g.life.Current() == phaseStarting {
 		g.enter("serve")
@@ -104,8 +106,10 @@
 			continue
 		}
 		c.routes = route.NewTable(cfg)
+		g.keyQuestions.forget()
 		g.cfg.Metrics.Generation(cfg.Version)
-		g.log.Info("config: in force", "version", cfg.Version, "revision", o.Revision, "routes", len(cfg.Routes))
+		g.log.Info("config: in force", "version", cfg.Version, "revision", o.Revision, "routes", len(cfg.Routes),
+			"workspaces", cfg.Workspaces.Len())
 	}
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/ryehill/ryehill/coordination/ratelimit"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
@@ -98,6 +99,14 @@
 	// ApplyWithin is within what time a change must be in force that the
 	// store has acknowledged: of the routes, or of a worker that leaves.
 	ApplyWithin time.Duration
+	// RevokeWithin is within what time an API key that was taken away must not
+	// be served any more. With StrictRevocation, a VM that has not heard from the
+	// store for so long refuses requests that need a key; without, it goes on with
+	// what it knows.
+	RevokeWithin     time.Duration
+	StrictRevocation bool
+	// Quota is what the limits of workspaces are held to.
+	Quota ratelimit.Bounds
 }
 
 // Config sets up a Gateway. All fields but Seeds and the intervals are
@@ -156,6 +165,10 @@
 const (
 	// DefaultProbeInterval is the time between two probes of other VMs.
 	DefaultProbeInterval = 500 * time.Millisecond
+	// DefaultRevokeWithin is within what time a key that was taken away must be refused.
+	DefaultRevokeWithin = 5 * time.Second
+	// DefaultQuotaWindow is the time over which the limits of workspaces hold.
+	DefaultQuotaWindow = 5 * time.Second
 	// applyMargin is kept of ApplyWithin for a VM's own call to the store and
 	// for the way of the last request that was decided before.
 	applyMargin = 800 * time.Millisecond
@@ -172,6 +185,12 @@
 	if c.StoreCalls == nil {
 		c.StoreCalls = &StoreCalls{}
 	}
+	if c.Bounds.RevokeWithin <= 0 {
+		c.Bounds.RevokeWithin = DefaultRevokeWithin
+	}
+	if c.Bounds.Quota.Window <= 0 {
+		c.Bounds.Quota.Window = DefaultQuotaWindow
+	}
 	if c.StaleAfter <= 0 {
 		c.StaleAfter = max(c.Bounds.ApplyWithin-applyMargin, leastStale)
 	}
@@ -210,20 +229,27 @@
 	if c.LinkMbps < 0 || c.LinkMbps > maxLinkMbps {
 		add("link", "want 0 to "+strconv.Itoa(maxLinkMbps)+" Mbit/s")
 	}
-	if c.Bounds.Grace <= 0 {
-		add("grace", "want a time above 0")
+	c.Bounds.check(add)
+	if len(faults) > 0 {
+		return errors.Wrap(ErrConfig, strings.Join(faults, "; "))
 	}
-	if c.Bounds.ApplyWithin <= 0 {
-		add("apply-within", "want a time above 0")
+	return nil
+}
+
+// check calls add for each fault of the bounds.
+func (b *Bounds) check(add func(field, want string)) {
+	for field, value := range map[string]time.Duration{"grace": b.Grace, "apply-within": b.ApplyWithin, "max-ttl": b.MaxTTL} {
+		if value <= 0 {
+			add(field, "want a time above 0")
+		}
 	}
-	if c.Bounds.RetryRatio < 0 || c.Bounds.RetryRatio > 1 {
+	if b.RetryRatio < 0 || b.RetryRatio > 1 {
 		add("retry-ratio", "want 0 to 1")
 	}
-	if c.Bounds.MaxTTL <= 0 {
-		add("max-ttl", "want a time above 0")
+	if b.RevokeWithin < 0 {
+		add("revoke-within", "want a time above 0")
 	}
-	if len(faults) > 0 {
-		return errors.Wrap(ErrConfig, strings.Join(faults, "; "))
+	if q := b.Quota; q.Window < 0 || q.Overage < 0 || q.Slack < 0 {
+		add("quota", "want a window above 0, and no overage or slack below 0")
 	}
-	return nil
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -353,6 +353,14 @@
 	return time.Duration(ms) * time.Millisecond, err == nil
 }
 
+func (dialect) APIKey(r *http.Request) (string, bool) {
+	return r.Header.Get("Api-Key"), r.Header.Get("Api-Key") != ""
+}
+
+func (dialect) SetWorkspace(h http.Header, name string) {
+	h.Del("Api-Key")
+	h.Set("Workspace", name)
+}
 func (dialect) Key(*http.Request) (string, bool)           { return "", false }
 func (dialect) Address(http.Header, string, time.Duration) {}
 func (dialect) Load(h http.Header) (running, waiting int, ok bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,9 +101,15 @@
 	packs     *packs
 	relayed   *relayed
 	gate      *gate
-	placer    *placement.Placer
-	balancer  *balancer
-	failed    chan error
+	quotas    *quotas
+	// keyQuestions bounds the questions for API keys that nobody knows.
+	keyQuestions *keyQuestions
+	// compiledConfig is the revision of the newest configuration that the snapshot
+	// was made from.
+	compiledConfig atomic.Uint64
+	placer         *placement.Placer
+	balancer       *balancer
+	failed         chan error
 }
 
 // New checks the settings and opens the listeners.
@@ -120,7 +126,7 @@
 		compiler: newCompiler(),
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
-		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{},
+		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{}, keyQuestions: newKeyQuestions(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -140,13 +146,14 @@
 		Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: time.Now,
 		Holders: g.balancer.table, Demand: g.balancer.meter,
 	})
+	g.quotas = newQuotas(g)
 	g.ingress = ingress.New(ingress.Config{
 		Snapshot: g.snapshot.Load, Upstreams: g.upstreams, Dialect: cfg.Dialect, Metrics: cfg.Metrics, Log: g.log,
 		Placer: g.placer,
 		Demand: g.balancer.meter,
 		Meters: g.meters,
 		VMs:    func() int { return len(g.members.All()) + 1 },
-		VM:     cfg.VM, Decisions: g.decisions, Age: g.age,
+		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g,
 		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
 	})
 	if err := g.listen(); err != nil {
@@ -254,7 +261,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.ingress.LogLosses}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
@@ -308,5 +315,6 @@
 	g.log.Info("gateway: phase "+g.life.Current(), "vm", g.cfg.VM)
 }
 
-// Ready reports whether this VM serves clients.
-func (g *Gateway) Ready() bool { return g.life.Current() == phaseServing }
+// Ready reports whether this VM serves clients. One that has to refuse every request
+// with an API key does not.
+func (g *Gateway) Ready() bool { return g.life.Current() == phaseServing && g.Certain() }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -131,6 +131,8 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Synced{Synced: answer}}
 	case *peerpb.Envelope_Balance:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Balanced{Balanced: g.balanced(from, k.Balance)}}
+	case *peerpb.Envelope_Allow:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Allowed{Allowed: g.allowed(from.VM, k.Allow)}}
 	case *peerpb.Envelope_Report:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Reported{Reported: g.reported()}}
 	default:
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -42,6 +42,7 @@
 	doubted   *prometheus.CounterVec
 	passed    *prometheus.CounterVec
 	copies    *prometheus.CounterVec
+	keyAsked  prometheus.Counter
 }
 
 // New returns a set with a registry of its own.
@@ -78,7 +79,10 @@
 	s.keysMoved = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "ryehill", Name: "keys_moved_total", Help: "Keys that this VM has moved from pressed workers to others.",
 	})
-	r.MustRegister(s.duration, s.revision, s.keysMoved, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.keyAsked = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "ryehill", Name: "key_questions_total", Help: "Questions to other VMs for API keys that this VM does not know.",
+	})
+	r.MustRegister(s.duration, s.revision, s.keysMoved, s.keyAsked, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
 
@@ -143,6 +147,9 @@
 // KeysMoved counts keys that were moved from pressed workers.
 func (s *Set) KeysMoved(n int) { s.keysMoved.Add(float64(n)) }
 
+// KeyQuestion counts a question to another VM for an API key that is not known.
+func (s *Set) KeyQuestion() { s.keyAsked.Inc() }
+
 // KnowledgeAge sets how long ago the store last confirmed what is believed of a
 // kind.
 func (s *Set) KnowledgeAge(kind string, age time.Duration) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/ryehill/ryehill/coordination/ratelimit"
 	"github.com/ryehill/ryehill/internal/gateway"
 )
 
@@ -36,6 +37,11 @@
 		&cli.FloatFlag{Name: "retry-ratio", Value: 0.1, Usage: "part of the requests that all VMs together may send again", Sources: env("retry-ratio")},
 		duration("apply-within", "time within which an acknowledged change of the routes must be in force", 2500*time.Millisecond),
 		duration("leave-within", "time within which a worker that leaves must get nothing more", 2500*time.Millisecond),
+		duration("revoke-within", "time within which an API key that was taken away must be refused", gateway.DefaultRevokeWithin),
+		&cli.BoolFlag{Name: "strict-revocation", Usage: "refuse requests with API keys while what is known of keys is older than that", Sources: env("strict-revocation")},
+		duration("quota-window", "time over which the limits of workspaces hold", gateway.DefaultQuotaWindow),
+		&cli.FloatFlag{Name: "quota-overage", Value: 0.1, Usage: "part by which a workspace may pass its limit in a window", Sources: env("quota-overage")},
+		&cli.FloatFlag{Name: "quota-slack", Value: 20, Usage: "requests by which it may pass it beside", Sources: env("quota-slack")},
 		duration("probe-interval", "time between two probes of other VMs", gateway.DefaultProbeInterval),
 		&cli.BoolFlag{Name: "verbose", Usage: "log what helps to find a fault", Sources: env("verbose")},
 		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -54,7 +60,11 @@
 		FirstStart: c.Bool("first-start"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
-			ApplyWithin: min(c.Duration("apply-within"), c.Duration("leave-within")),
+			ApplyWithin:  min(c.Duration("apply-within"), c.Duration("leave-within")),
+			RevokeWithin: c.Duration("revoke-within"), StrictRevocation: c.Bool("strict-revocation"),
+			Quota: ratelimit.Bounds{
+				Window: c.Duration("quota-window"), Overage: c.Float("quota-overage"), Slack: c.Float("quota-slack"),
+			},
 		},
 		ProbeInterval: c.Duration("probe-interval"),
 	}
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -18,6 +18,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/ryehill/ryehill/state/workspace"
 )
 
 // Route says how requests of one host and path prefix are handled.
@@ -41,6 +43,8 @@
 	Affinity bool
 	// Homes are the only regions in which requests may run; none is all.
 	Homes []string
+	// Public is set if requests need no API key where others do.
+	Public bool
 	// Targets are the services that share the requests by weight.
 	Targets []Target
 }
@@ -82,6 +86,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces says whose requests are served. Nil serves everybody.
+	Workspaces *workspace.Directory
 }
 
 // Table finds routes. It is safe for concurrent use.
@@ -90,6 +96,8 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route // by host, then by prefix
 	services map[string]Service
+	// workspaces is nil if everybody is served.
+	workspaces *workspace.Directory
 }
 
 // NewTable returns a table. Of two routes with one host and prefix the first is
@@ -98,7 +106,7 @@
 	t := &Table{
 		version: cfg.Version, limits: cfg.Limits,
 		hosts:    make(map[string]map[string]*Route),
-		services: make(map[string]Service, len(cfg.Services)),
+		services: make(map[string]Service, len(cfg.Services)), workspaces: cfg.Workspaces,
 	}
 	for _, s := range cfg.Services {
 		t.services[s.Name] = s
@@ -125,6 +133,9 @@
 // Limits returns what clients may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Workspaces returns whose requests are served; nil stands for everybody's.
+func (t *Table) Workspaces() *workspace.Directory { return t.workspaces }
+
 // Service returns a service by its name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- /dev/null
+++ b/state/workspace/workspace_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package workspace_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/state/workspace"
+)
+
+func TestDirectoryFindsTheHolderOfAKey(t *testing.T) {
+	d, err := workspace.NewDirectory([]workspace.Config{
+		{Name: "schools", Keys: []string{"k1", "k2"}, Priority: 1, Rate: 5, Burst: 2, Homes: []string{"north"}},
+		{Name: "offices", Keys: nil},
+		{Name: "parents", Keys: []string{"k3"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]string{"k1": "schools", "k2": "schools", "k3": "parents", "k4": "", "": ""} {
+		w, ok := d.Find(workspace.DigestOf(key))
+		if w.Name() != want || ok != (want != "") {
+			t.Errorf("%q is of %q, want %q", key, w.Name(), want)
+		}
+	}
+	w, _ := d.Find(workspace.DigestOf("k1"))
+	if w.Limit() != (workspace.Limit{Rate: 5, Burst: 2}) || w.Priority() != 1 || !w.AllowsRegion("north") || w.AllowsRegion("south") {
+		t.Errorf("got %+v", w)
+	}
+	if _, ok := (*workspace.Directory)(nil).Find(workspace.DigestOf("k1")); ok {
+		t.Error("no directory holds a key")
+	}
+}
+
+// A list with any fault is refused whole, and what is said of it shows no key.
+func TestInvalidListsAreRefused(t *testing.T) {
+	const key = "secretsecretsecret"
+	cases := map[string][]workspace.Config{
+		"no name":                   {{Keys: []string{key}}},
+		"a name twice":              {{Name: "a"}, {Name: "a"}},
+		"a key of two workspaces":   {{Name: "a", Keys: []string{"x", key}}, {Name: "b", Keys: []string{key}}},
+		"an empty key":              {{Name: "a", Keys: []string{key, ""}}},
+		"a rate below 0":            {{Name: "a", Rate: -1}},
+		"a burst below 0":           {{Name: "a", Burst: -1}},
+		"a priority below 0":        {{Name: "a", Priority: -1}},
+		"the last of many at fault": {{Name: "a"}, {Name: "b"}, {Name: "c", Rate: -0.5}},
+	}
+	for name, list := range cases {
+		t.Run(name, func(t *testing.T) {
+			d, err := workspace.NewDirectory(list)
+			if d != nil || !errors.Is(err, workspace.ErrInvalid) {
+				t.Fatalf("got %v, %v", d, err)
+			}
+			if strings.Contains(err.Error(), key) {
+				t.Errorf("the error shows a key: %v", err)
+			}
+		})
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	list := make([]workspace.Config, 50_000)
+	for i := range list {
+		list[i] = workspace.Config{Name: fmt.Sprint("w", i), Keys: []string{fmt.Sprint("key-of-some-length-", i)}}
+	}
+	d, err := workspace.NewDirectory(list)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; b.Loop(); i++ {
+		if _, ok := d.Find(workspace.DigestOf(list[i%len(list)].Keys[0])); !ok {
+			b.Fatal("not found")
+		}
+	}
+}
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -36,6 +36,7 @@
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
@@ -48,6 +49,11 @@
 	Patience(r *http.Request) (time.Duration, bool)
 	// Key returns the affinity key of a request.
 	Key(r *http.Request) (string, bool)
+	// APIKey returns the API key of a request.
+	APIKey(r *http.Request) (string, bool)
+	// SetWorkspace names the workspace to a worker, "" being none, and takes off
+	// the key and what the client says of a workspace.
+	SetWorkspace(h http.Header, name string)
 	// Address sets the worker that is meant and the time it has.
 	Address(h http.Header, workerID string, left time.Duration)
 	// Load returns the requests that a worker runs and holds, from an answer.
@@ -78,6 +84,10 @@
 	VMs func() int
 	// Retry is the budget of each service for tries after the first.
 	Retry retry.Config
+	// Limiter bounds the requests of workspaces. Nil bounds none.
+	Limiter Limiter
+	// Keys says how far what is known of API keys holds. Nil trusts it.
+	Keys Keys
 }
 
 // Handler serves clients. It is safe for concurrent use.
@@ -101,6 +111,12 @@
 	if cfg.Demand == nil {
 		cfg.Demand = demand.NewMeter("")
 	}
+	if cfg.Limiter == nil {
+		cfg.Limiter = unbounded{}
+	}
+	if cfg.Keys == nil {
+		cfg.Keys = unbounded{}
+	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), losses: newLosses(), budgets: make(map[string]*retry.Budget)}
 }
 
@@ -131,6 +147,9 @@
 		return
 	}
 	q.route, q.record.Generation = matched, snapshot.Routes.Version()
+	if !q.identify(snapshot) {
+		return
+	}
 	q.serve(snapshot)
 }
 
@@ -184,6 +203,11 @@
 	id      string
 	arrived time.Time
 	route   *route.Route
+	// workspace is whose request it is; nil if that does not matter.
+	workspace *workspace.Workspace
+	admission Admission
+	// hideKey is set if workers are not to see the client's API key.
+	hideKey bool
 	// service is the one chosen for the request.
 	service string
 	until   time.Time
@@ -221,6 +245,10 @@
 		q.badBody(err)
 		return
 	}
+	if !q.admit() {
+		return
+	}
+	defer q.leaveQuota()
 	ctx, cancel := context.WithDeadline(q.in.Context(), q.until)
 	defer cancel()
 	q.handler.budget(q.service).First()
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -47,6 +47,15 @@
 	h.Set("Wait", strconv.FormatInt(left.Milliseconds(), 10))
 }
 
+func (plain) APIKey(r *http.Request) (string, bool) {
+	return r.Header.Get("Api-Key"), r.Header.Get("Api-Key") != ""
+}
+
+func (plain) SetWorkspace(h http.Header, name string) {
+	h.Del("Api-Key")
+	h.Set("Workspace", name)
+}
+
 func (plain) Load(h http.Header) (running, waiting int, ok bool) {
 	waiting, err := strconv.Atoi(h.Get("Waiting"))
 	return 0, waiting, err == nil
@@ -73,6 +82,9 @@
 	// decisions are those of the handler.
 	decisions *ingress.Decisions
 	loads     *worker.Loads
+	// limiter and keys are those of the handler; serve makes it anew.
+	limiter ingress.Limiter
+	keys    ingress.Keys
 
 	mu   sync.Mutex
 	runs map[string][]string // by request id: the workers that got it
@@ -135,7 +147,7 @@
 		},
 		Placer:    placement.New(placement.Config{Region: "here", Loads: f.loads, Cold: cold, Now: time.Now}),
 		Upstreams: client, Dialect: plain{}, Metrics: metrics.New(), Log: logr.Discard(), Decisions: f.decisions,
-		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100},
+		VMs: func() int { return 1 }, Retry: retry.Config{Burst: 100}, Limiter: f.limiter, Keys: f.keys,
 	})
 	f.front = httptest.NewServer(f.handler)
 	t.Cleanup(func() {
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -86,7 +86,7 @@
 func (q *request) placement() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
-		Allows: q.route.AllowsRegion, Tried: q.tried,
+		Allows: q.allowsRegion, Tried: q.tried,
 	}
 }
 
@@ -193,6 +193,9 @@
 	header := q.in.Header.Clone()
 	stripHopByHop(header)
 	header.Del("Expect")
+	if q.hideKey {
+		q.handler.cfg.Dialect.SetWorkspace(header, q.workspace.Name())
+	}
 	q.handler.cfg.Dialect.Address(header, workerID, time.Until(q.until))
 	return &upstream.Request{
 		Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: header,
