--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -23,11 +23,13 @@
 // compiler holds what the last snapshot was made from. Only compileLoop uses it.
 type compiler struct {
 	configRevision uint64
-	routes         *route.Table
-	workers        map[string]*worker.Worker
-	closed         map[string]bool
-	closing        map[string]worker.Ending
-	warmAt         map[string]time.Time
+	// refusedRevision is that of the last configuration that could not be read.
+	refusedRevision uint64
+	routes          *route.Table
+	workers         map[string]*worker.Worker
+	closed          map[string]bool
+	closing         map[string]worker.Ending
+	warmAt          map[string]time.Time
 	// traffic holds the operators' moves and caps, of a version.
 	traffic        *view.View
 	trafficVersion uint64
@@ -93,11 +95,12 @@
 // older than the one in force, changes nothing.
 func (g *Gateway) compileRoutes(c *compiler) {
 	for _, o := range g.replica.Objects(g.cfg.Codec.ConfigKind()) {
-		if o.Revision <= c.configRevision {
+		if o.Revision <= c.configRevision || o.Revision == c.refusedRevision {
 			continue
 		}
 		cfg, err := g.cfg.Codec.Routes(o)
 		if err != nil {
+			c.refusedRevision = o.Revision
 			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Revision)
 			continue
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -13,6 +13,7 @@
 	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/state/workspace"
 )
 
 // FromBalanced and FromBalance read what peers send, for tests.
@@ -121,3 +122,21 @@
 		g.compileWorkers(&g.compiler, time.Now())
 	}
 }
+
+// KeyQuestions is keyQuestions, for tests.
+type KeyQuestions struct{ *keyQuestions }
+
+// NewKeyQuestions returns questions that nobody has asked yet.
+func NewKeyQuestions() KeyQuestions { return KeyQuestions{newKeyQuestions()} }
+
+// Asks reports whether a request with an unknown key makes the VM ask another one.
+func (k KeyQuestions) Asks(key workspace.Digest, now time.Time) bool {
+	_, ask := k.begin(key, now)
+	return ask
+}
+
+// Lenders returns how many VMs lend this one their parts of quotas.
+func (g *Gateway) Lenders() int { return g.quotas.pool.Lenders() }
+
+// ListedVMs is listedVMs, for tests.
+func (g *Gateway) ListedVMs() int { return g.listedVMs() }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -20,6 +20,7 @@
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
@@ -315,10 +316,23 @@
 func (codec) TrafficKind() string { return kindTraffic }
 func (codec) PlanKind() string    { return kindPlans }
 
+// keyedConfig is a configuration with workspaces, or without if Spaces is nil.
+type keyedConfig struct {
+	route.Config
+	Spaces []workspace.Config
+}
+
 func (codec) Routes(o object.Object) (route.Config, error) {
-	var cfg route.Config
-	err := json.Unmarshal(o.Spec, &cfg)
-	return cfg, err
+	var cfg keyedConfig
+	if err := json.Unmarshal(o.Spec, &cfg); err != nil {
+		return route.Config{}, err
+	}
+	if cfg.Spaces == nil {
+		return cfg.Config, nil
+	}
+	var err error
+	cfg.Config.Workspaces, err = workspace.NewDirectory(cfg.Spaces)
+	return cfg.Config, err
 }
 
 func (codec) Worker(o object.Object) (worker.Worker, time.Duration, error) {
