gateway: who is chosen among live VMs stands once

Cause: the root that VMs ask for news, the VM that decides the table of holders and the pool of a region's quotas each built the same list of candidates.

--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -10,7 +10,6 @@
 
 	"github.com/ryehill/ryehill/coordination/balance"
 	"github.com/ryehill/ryehill/coordination/membership"
-	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/holders"
@@ -75,17 +74,8 @@
 
 // balancerVM returns the VM of the fleet that decides; it may be this one.
 func (g *Gateway) balancerVM(now time.Time) membership.Member {
-	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
-	for _, m := range append(g.live(), g.unheard(now)...) {
-		if m.ID != g.cfg.VM && !g.balancer.avoided.has(m.ID, now) {
-			candidates[m.ID] = m
-		}
-	}
-	vms := make([]tree.VM, 0, len(candidates))
-	for id, m := range candidates {
-		vms = append(vms, tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps})
-	}
-	return candidates[tree.Ranked("balancer", vms)[0]]
+	c := g.candidates(now, func(m membership.Member) bool { return !g.balancer.avoided.has(m.ID, now) })
+	return c.first("balancer")
 }
 
 // reportDemand tells the balancer what callers ask for, and takes in what it has
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -13,7 +13,6 @@
 
 	"github.com/ryehill/ryehill/coordination/membership"
 	"github.com/ryehill/ryehill/coordination/ratelimit"
-	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/ingress"
@@ -91,20 +90,11 @@
 
 // poolVM returns the VM of this region that the others lend to.
 func (g *Gateway) poolVM(now time.Time) membership.Member {
-	candidates := map[string]membership.Member{g.cfg.VM: g.members.Self()}
-	for _, m := range append(g.live(), g.unheard(now)...) {
-		if g.cfg.Halls[m.Hall] == g.region() && !g.quotas.avoided.has(m.ID, now) {
-			candidates[m.ID] = m
-		}
-	}
-	if self := g.members.Self(); self.State == membership.StateLeaving && len(candidates) > 1 {
-		delete(candidates, g.cfg.VM)
-	}
-	vms := make([]tree.VM, 0, len(candidates))
-	for id, m := range candidates {
-		vms = append(vms, tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps})
+	c := g.candidates(now, func(m membership.Member) bool { return g.inRegion(m) && !g.quotas.avoided.has(m.ID, now) })
+	if g.members.Self().State == membership.StateLeaving && len(c) > 1 {
+		delete(c, g.cfg.VM)
 	}
-	return candidates[tree.Ranked("quota/"+g.region(), vms)[0]]
+	return c.first("quota/" + g.region())
 }
 
 // quotaLoop lends this VM's parts to the pool of its region, as long as there are
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -129,22 +129,15 @@
 // that are not to be avoided.
 func (g *Gateway) tellerAmong(now time.Time, avoided func(id string) bool) teller {
 	self := g.members.Self()
-	candidates := map[string]membership.Member{self.ID: self}
-	for _, m := range append(g.live(), g.unheard(now)...) {
-		if g.cfg.Halls[m.Hall] == g.region() && !avoided(m.ID) {
-			candidates[m.ID] = m
+	c := g.candidates(now, func(m membership.Member) bool { return g.inRegion(m) && !avoided(m.ID) })
+	vms := c.vms()
+	for i := range vms {
+		if vms[i].ID == self.ID && avoided(self.ID) {
+			vms[i].LinkMbps = lastChoice
 		}
 	}
-	vms := make([]tree.VM, 0, len(candidates))
-	for id, m := range candidates {
-		vm := tree.VM{ID: id, Hall: m.Hall, LinkMbps: m.LinkMbps}
-		if id == self.ID && avoided(id) {
-			vm.LinkMbps = lastChoice
-		}
-		vms = append(vms, vm)
-	}
 	place := tree.Of(self.ID, g.region(), vms)
-	return teller{Member: candidates[place.Parent], depth: place.Depth, inTree: len(vms) > tree.FanOut}
+	return teller{Member: c[place.Parent], depth: place.Depth, inTree: len(vms) > tree.FanOut}
 }
 
 // choice is the VM that is asked for news, and since when.
