ratelimit, scripts: a test of VMs that start again and of pools that change

Cause: switch-off.sh showed that the property over chance faults misses two mechanisms: one pool at a time, and parts that start empty. Change: a test that strikes with each of them every 0.4 s.

--- a/coordination/ratelimit/ratelimit_test.go
+++ b/coordination/ratelimit/ratelimit_test.go
@@ -215,6 +215,39 @@
 	})
 }
 
+// VMs that start again and again add nothing to what their earlier lives let run, and
+// a pool that changes again and again nothing to what was lent.
+func TestRestartsAndNewPoolsAddNothing(t *testing.T) {
+	cases := map[string]func(f *fleet, turn int){
+		"restarts": func(f *fleet, _ int) {
+			for _, v := range f.vms {
+				v.start()
+			}
+		},
+		"pools": func(f *fleet, turn int) {
+			for i := range 3 {
+				f.vms[i].group = turn % 2
+			}
+		},
+	}
+	for name, strike := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, rate := range []float64{12, 150} {
+				f := newFleet(20, workspace.Limit{Rate: rate, Burst: rate}, func(int) float64 { return 1 })
+				flood := func(*vm) int { return 2 }
+				f.play(6*time.Second, flood)
+				for turn := range 30 {
+					strike(f, turn)
+					f.play(400*time.Millisecond, flood)
+				}
+				if worst, most := f.worst(), most(f.limit); float64(worst) > most {
+					t.Errorf("limit %.0f: %d ran in a window, at most %.1f may", rate, worst, most)
+				}
+			}
+		})
+	}
+}
+
 // A limit that falls binds a window later; until then the old one does.
 func TestFallingLimitBinds(t *testing.T) {
 	for size := range 30 {
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -97,8 +97,8 @@
 off strict-revocation internal/gateway/keys.go 'return !g.cfg.Bounds.StrictRevocation ||' 'return true ||' ./internal/gateway TestStrictRevocation
 off strangers-are-bounded internal/gateway/keys.go 'if now.Sub(k.last) < keyQuestionInterval {' 'if false {' ./internal/gateway TestStrangersAreNoLever
 off quota-loans-end coordination/ratelimit/pool.go 'if !l.Until.After(now) && (first.VM' 'if false && (first.VM' ./coordination/ratelimit TestNoWindowPassesTheLimit
-off quota-one-pool coordination/ratelimit/lender.go 'if pool != l.pool && now.Before(l.until) {' 'if false {' ./coordination/ratelimit TestNoWindowPassesTheLimit
-off quota-starts-empty coordination/ratelimit/own.go 'b := &bucket{filled: s.began}' 'b := &bucket{filled: s.began, level: 1e9}' ./coordination/ratelimit TestNoWindowPassesTheLimit
+off quota-one-pool coordination/ratelimit/lender.go 'if pool != l.pool && now.Before(l.until) {' 'if false {' ./coordination/ratelimit TestRestartsAndNewPoolsAddNothing
+off quota-starts-empty coordination/ratelimit/own.go 'b := &bucket{filled: s.began}' 'b := &bucket{filled: s.began, level: 1e9}' ./coordination/ratelimit TestRestartsAndNewPoolsAddNothing
 off answer-time-is-not-held internal/gateway/teller.go 'answer.HeldMillis = uint32(held.Milliseconds())' 'answer.HeldMillis = uint32(time.Since(asked).Milliseconds())' ./internal/gateway TestTimeSpentOnAnAnswer
 off watcher-passed-over internal/gateway/watchers.go 'case age > g.oldForTeller(t) &&' 'case false &&' ./internal/gateway TestWatcherWithoutStore
 off watch-held-for-less internal/gateway/watch.go 'return min(max(g.cfg.WatchHold+askHold-age, atOnce)' 'return min(max(g.cfg.WatchHold+askHold-0*age, atOnce)' ./internal/gateway TestWatchIsHeldForLess
