--- a/state/workspace/workspace_test.go
+++ b/state/workspace/workspace_test.go
@@ -100,8 +100,10 @@
 // Limits stand for what workspaces ask for.
 func TestBound(t *testing.T) {
 	d, err := workspace.NewDirectory([]workspace.Config{
-		{Name: "a", Rate: 60}, {Name: "b", Rate: 10, Homes: []string{"north"}},
-		{Name: "c", Rate: 30, Homes: []string{"north", "south"}}, {Name: "d", Homes: []string{"east"}},
+		{Name: "a", Rate: 60},
+		{Name: "b", Rate: 10, Homes: []string{"north"}},
+		{Name: "c", Rate: 30, Homes: []string{"north", "south"}},
+		{Name: "d", Homes: []string{"east"}},
 	})
 	if err != nil {
 		t.Fatal(err)
