placement, docs: what is inferred of bound requests is called so

Cause: the comment and the page gave a workspace's part of the requests and kept parts that no run had measured.

--- a/coordination/placement/share.go
+++ b/coordination/placement/share.go
@@ -54,10 +54,9 @@
 // depends on the key and the workers alone, so it moves only when these do.
 //
 // Slots that requests need which may run in some regions only are not there for the
-// others. On a site whose smallest region has a tenth of the slots, and is the home of a
-// workspace with a twentieth of the requests, its workers refused 6,450 of 74,000 requests
-// of its own callers while it kept keys by all of its slots (kept below: 0.30 of them;
-// 0.14 by what is left).
+// others. On a site with 74 VMs whose smallest region has a tenth of the slots, 0.057 of a
+// busy day's requests were refused while regions kept keys by all of their slots, most of
+// them of that region's callers by its own workers, and 0.037 by what is left.
 func shareOut(home string, s *Snapshot, workers []*worker.Worker, r Request) shared {
 	regions := s.Regions
 	slots, total := slotsByRegion(workers, len(regions))
