ingress: tells under which request a worker ended the connection

Now a record has the request's fingerprint (method, host, target, credential, body), the worker and how many others of this VM were there; a counter sums the hang-ups by service. No decision has changed.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,7 @@
 	passed    *prometheus.CounterVec
 	copies    *prometheus.CounterVec
 	keyAsked  prometheus.Counter
+	hungUp    *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -71,6 +72,7 @@
 		knowledge: gauge(r, "knowledge_age_seconds", "Time since the store last confirmed what is believed, by kind.", "kind"),
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
+		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -168,6 +170,9 @@
 	s.copies.WithLabelValues("bytes").Add(float64(bytes))
 }
 
+// HungUp counts a try at which the upstream ended the connection before it answered.
+func (s *Set) HungUp(service string) { s.hungUp.WithLabelValues(service).Inc() }
+
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
--- a/transport/ingress/explain.go
+++ b/transport/ingress/explain.go
@@ -14,6 +14,8 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/state/decision"
+	"github.com/ryehill/ryehill/state/quarantine"
+	"github.com/ryehill/ryehill/state/worker"
 )
 
 const (
@@ -88,6 +90,23 @@
 	q.note(fmt.Sprintf("try %d", number), fmt.Sprintf("%s at %s after %d ms", text, c.Worker().ID, took))
 }
 
+// noteHangUp notes that a worker ended the connection while it had this request,
+// beside others of this VM: its process may have ended, and the request may be why.
+func (q *request) noteHangUp(w worker.Worker, others int) {
+	q.handler.cfg.Metrics.HungUp(w.Service)
+	q.note("worker hung up", fmt.Sprintf("%s at %s, %d others of this VM there", q.fingerprint(), w.ID, others))
+}
+
+// fingerprint returns what tells this request apart from others.
+func (q *request) fingerprint() quarantine.Fingerprint {
+	if q.print == nil {
+		credential, _ := q.handler.cfg.Dialect.APIKey(q.in)
+		f := quarantine.FingerprintOf(quarantine.IdentityOf(q.in, credential, q.body.held, q.body.length))
+		q.print = &f
+	}
+	return *q.print
+}
+
 // finish keeps the record of a request, and logs it if it failed or was late.
 func (q *request) finish(reason string, status int) {
 	took := time.Since(q.arrived)
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -35,6 +35,7 @@
 	"github.com/ryehill/ryehill/state/decision"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/upstream"
@@ -214,7 +215,9 @@
 	key     uint64
 	keyed   bool
 	body    *body
-	tried   []string
+	// print is the fingerprint, nil while nobody has asked for it.
+	print *quarantine.Fingerprint
+	tried []string
 	// mayHaveRun is set once a worker was given the request and did not say
 	// that it has not run it.
 	mayHaveRun bool
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -236,6 +236,9 @@
 			c.Load().Failed()
 			c.Load().Outcome(!ranOut(err))
 		}
+		if !left && failed.HungUp() {
+			q.noteHangUp(c.Worker(), c.Load().Own()-1)
+		}
 	case upstream.KindBody:
 	}
 	return f
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -77,6 +77,7 @@
 type Error struct {
 	kind   Kind
 	notRun bool
+	hungUp bool
 	step   string
 	worker string
 	cause  error
@@ -90,6 +91,11 @@
 // byte of the request was given to it, or it said so.
 func (e *Error) NotRun() bool { return e.notRun }
 
+// HungUp reports whether the upstream closed or reset the connection after it was
+// given a part of the request and before it sent the head of an answer, as one does
+// whose process ends.
+func (e *Error) HungUp() bool { return e.hungUp }
+
 // Header returns the header of a refusal by the upstream, or nil.
 func (e *Error) Header() http.Header { return e.header }
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,10 +109,18 @@
 		e.cause = ctx.Err()
 	case x.sendErr != nil:
 		e.step = "send"
+		e.hungUp = !e.notRun && hungUp(err)
+	default:
+		e.hungUp = hungUp(err)
 	}
 	return e
 }
 
+// hungUp reports whether a connection failed because the other side ended it.
+func hungUp(err error) bool {
+	return errors.Is(err, errClosed) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (x *exchange) end(keep bool) {
 	x.stopped.Store(true)
 	if x.detach() && keep {
