gateway: a request that ends workers is found by all VMs together and held

Cause: each attempt was judged alone, and only workers were ever blamed. A request that ends the worker which runs it was tried at a second worker, answered 502 and forgotten, at every VM anew.

Ruled out: workers that end for another reason (one fingerprint was under way at every worker that hung up) and own second tries as the cause (1.3 workers an attempt).

Change: a hang-up before the head of an answer is told to two VMs that all agree on. All VMs are told hall by hall, without the store; the store keeps it for VMs that start. A request that has ended two workers at a VM is not sent on by itself.

--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -50,6 +50,7 @@
 	VerdictBudget     Verdict = "budget"
 	VerdictDeadline   Verdict = "deadline"
 	VerdictFinal      Verdict = "final"
+	VerdictSuspect    Verdict = "suspect"
 )
 
 // Again reports whether another try is allowed.
@@ -76,6 +77,8 @@
 	// Home is set if the next try is the one at the request's own hall after
 	// another hall refused; it costs no budget as it sends nothing twice.
 	Home bool
+	// Suspect is set if the request may be why its upstream ended.
+	Suspect bool
 	// Final is set if the same try would only fail again: no room was found
 	// in the time that a request may wait.
 	Final bool
@@ -136,6 +139,8 @@
 		return VerdictBodyGone
 	case t.Expired:
 		return VerdictDeadline
+	case t.Suspect:
+		return VerdictSuspect
 	case t.Final:
 		return VerdictFinal
 	case t.Home, t.Unsent && t.Number < maxUnsent:
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -73,6 +73,7 @@
 	c := &g.compiler
 	config := g.replica.Content(g.cfg.Codec.ConfigKind())
 	g.compileMembers()
+	g.compileQuarantine()
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.At(g.cfg.Codec.WorkerKind())
 	_, closedKnown := g.replica.At(g.cfg.Codec.ClosedKind())
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -72,6 +72,8 @@
 	// TrafficKind holds the operators' moves and caps, PlanKind their plans.
 	TrafficKind() string
 	PlanKind() string
+	// QuarantineKind holds the requests that end workers.
+	QuarantineKind() string
 	Routes(o object.Object) (route.Config, error)
 	// Worker returns a worker and for how long it is still cold.
 	Worker(o object.Object) (worker.Worker, time.Duration, error)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -32,6 +32,8 @@
 	kindMembers = "members"
 	kindTraffic = "traffic"
 	kindPlans   = "plans"
+
+	kindQuarantine = "quarantine"
 )
 
 // storePage is how many objects the fake store lists at a time.
@@ -316,6 +318,8 @@
 func (codec) TrafficKind() string { return kindTraffic }
 func (codec) PlanKind() string    { return kindPlans }
 
+func (codec) QuarantineKind() string { return kindQuarantine }
+
 // keyedConfig is a configuration with workspaces, or without if Spaces is nil.
 type keyedConfig struct {
 	route.Config
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,8 @@
 	relayed   *relayed
 	gate      *gate
 	quotas    *quotas
+	// quarantines are the requests that end workers.
+	quarantines *quarantines
 	// keyQuestions bounds the questions for API keys that nobody knows.
 	keyQuestions *keyQuestions
 	// compiledConfig is the revision of the newest configuration that the snapshot
@@ -127,6 +129,7 @@
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
 		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{}, keyQuestions: newKeyQuestions(),
+		quarantines: newQuarantines(),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -153,7 +156,7 @@
 		Demand: g.balancer.meter,
 		Meters: g.meters,
 		VMs:    func() int { return len(g.members.All()) + 1 },
-		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g,
+		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g, Quarantine: g.quarantines,
 		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
 	})
 	if err := g.listen(); err != nil {
@@ -261,7 +264,7 @@
 }
 
 func (g *Gateway) loops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.ingress.LogLosses}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.quarantineLoop, g.quarantineStoreLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
@@ -280,7 +283,7 @@
 // listedKinds are the kinds that are read now and then; peers tell each other of
 // their changes.
 func (g *Gateway) listedKinds() []string {
-	return []string{g.cfg.Codec.MemberKind(), g.cfg.Codec.TrafficKind()}
+	return []string{g.cfg.Codec.MemberKind(), g.cfg.Codec.TrafficKind(), g.cfg.Codec.QuarantineKind()}
 }
 
 // watchedKinds are the kinds whose changes must be in force soon.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -133,6 +133,10 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Balanced{Balanced: g.balanced(from, k.Balance)}}
 	case *peerpb.Envelope_Allow:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Allowed{Allowed: g.allowed(from.VM, k.Allow)}}
+	case *peerpb.Envelope_HangUps:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_QuarantineTaken{QuarantineTaken: g.hearHangUps(from.VM, k.HangUps)}}
+	case *peerpb.Envelope_Quarantine:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_QuarantineTaken{QuarantineTaken: g.hearQuarantine(from.VM, k.Quarantine)}}
 	case *peerpb.Envelope_Report:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Reported{Reported: g.reported()}}
 	default:
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -214,6 +214,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t)
 			f.repeatableConfig(2)
 			m := &mortals{}
--- /dev/null
+++ b/internal/gateway/quarantinestore.go
@@ -0,0 +1,170 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/state/quarantine"
+)
+
+const (
+	// saveLook is the time between two looks whether there is an entry that the store
+	// does not have yet.
+	saveLook = 500 * time.Millisecond
+	// saveForOthers is after what time a VM that watches the store saves an entry that
+	// another one made: that one may be gone.
+	saveForOthers = 2 * time.Second
+)
+
+// quarantineStoreLoop keeps this VM's knowledge of the store's entries, and the store's
+// knowledge of those that VMs have found. While there is nothing new, the VMs that watch
+// the store read a stale list now and then, as of other kinds that change rarely.
+func (g *Gateway) quarantineStoreLoop(ctx context.Context) {
+	kind := g.cfg.Codec.QuarantineKind()
+	g.waitForPeers(ctx, kind)
+	var listed time.Time
+	for ; ctx.Err() == nil; sleep(ctx, saveLook) {
+		_, known := g.replica.At(kind)
+		unsaved := g.unsaved(time.Now())
+		if known && len(unsaved) == 0 && (!g.watches() || time.Since(listed) < listInterval) {
+			continue
+		}
+		g.gate.enter(ctx, g.longestWait())
+		err := g.saveQuarantine(ctx, unsaved)
+		if err == nil {
+			err = g.listQuarantine(ctx, known && len(unsaved) == 0)
+		}
+		g.gate.ended(err)
+		if err != nil {
+			g.log.V(1).Info("quarantine: the store does not answer", "unsaved", len(unsaved), "error", err.Error())
+			continue
+		}
+		listed = time.Now()
+	}
+}
+
+// unsaved returns the entries that this VM is to save: its own, and those of others
+// that have not been saved for long.
+func (g *Gateway) unsaved(now time.Time) []quarantine.Entry {
+	q := g.quarantines
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.DeleteFunc(q.table.Unstored(), func(e quarantine.Entry) bool {
+		return !q.found[e.Fingerprint] && (!g.watches() || now.Sub(e.Since) < saveForOthers)
+	})
+}
+
+func (g *Gateway) saveQuarantine(ctx context.Context, entries []quarantine.Entry) error {
+	for _, e := range entries {
+		raw, err := e.Encode()
+		if err != nil {
+			return errors.Wrap(err, "quarantine: encode")
+		}
+		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.QuarantineKind(), e.Fingerprint.String(), raw); err != nil {
+			return errors.Wrap(err, "quarantine: save")
+		}
+	}
+	return nil
+}
+
+// listQuarantine reads the store's entries. Those that are of no more use are removed
+// by the VMs that watch, since nothing in the store runs out by itself.
+func (g *Gateway) listQuarantine(ctx context.Context, stale bool) error {
+	kind := g.cfg.Codec.QuarantineKind()
+	objects, at, err := g.cfg.Store.List(ctx, kind, stale)
+	if err != nil {
+		return errors.Wrap(err, "quarantine: list")
+	}
+	g.replica.Reset(kind, objects, at)
+	g.compileQuarantine()
+	if !g.watches() {
+		return nil
+	}
+	for _, e := range g.quarantines.table.All() {
+		if !e.Forgotten(time.Now()) {
+			continue
+		}
+		if err := g.cfg.Store.Delete(ctx, kind, e.Fingerprint.String()); err != nil {
+			return errors.Wrap(err, "quarantine: remove")
+		}
+	}
+	return nil
+}
+
+// compileQuarantine takes in the store's entries as the replica has them. One that
+// cannot be read holds nothing.
+func (g *Gateway) compileQuarantine() {
+	q, kind := g.quarantines, g.cfg.Codec.QuarantineKind()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	content := g.replica.Content(kind)
+	if _, known := g.replica.At(kind); !known || content == q.compiled {
+		return
+	}
+	var entries []quarantine.Entry
+	for _, o := range g.replica.Objects(kind) {
+		e, err := decodeEntry(o.Spec, time.Now())
+		if err != nil || e.Fingerprint.String() != o.Name {
+			if o.Revision > q.compiled {
+				g.log.Info("quarantine: an entry of the store is not used", "name", cutName(o.Name), "revision", o.Revision, "error", errorText(err))
+			}
+			continue
+		}
+		entries = append(entries, e)
+	}
+	q.compiled = content
+	q.table.SetStored(entries)
+	for f := range q.found {
+		if _, ok := q.table.Get(f); !ok {
+			delete(q.found, f)
+		}
+	}
+	g.cfg.Metrics.Quarantined(q.table.Len())
+}
+
+// errorText returns why an entry is not used.
+func errorText(err error) string {
+	if err == nil {
+		return "its name is not its fingerprint"
+	}
+	return err.Error()
+}
+
+// cutName bounds a name for a log line.
+func cutName(name string) string {
+	const most = 64
+	return name[:min(len(name), most)]
+}
+
+// ReleaseQuarantined lets a request run again, at all VMs. It returns ErrMissing if it is
+// not held.
+func (g *Gateway) ReleaseQuarantined(ctx context.Context, f quarantine.Fingerprint) error {
+	if _, ok := g.quarantines.table.Get(f); !ok {
+		return errors.Wrapf(ErrMissing, "fingerprint %s", f)
+	}
+	if err := g.cfg.Store.Delete(ctx, g.cfg.Codec.QuarantineKind(), f.String()); err != nil {
+		return errors.Wrap(err, "quarantine: release")
+	}
+	g.forgetQuarantined(f)
+	g.tellQuarantine(nil, []quarantine.Fingerprint{f})
+	return nil
+}
+
+// forgetQuarantined forgets that a request was held.
+func (g *Gateway) forgetQuarantined(f quarantine.Fingerprint) {
+	q := g.quarantines
+	q.mu.Lock()
+	delete(q.found, f)
+	q.mu.Unlock()
+	q.detector.Release(f)
+	if q.table.Release(f) {
+		g.log.Info("quarantine: a request may run again", "fingerprint", f.String())
+	}
+	g.cfg.Metrics.Quarantined(q.table.Len())
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,7 @@
 	copies    *prometheus.CounterVec
 	keyAsked  prometheus.Counter
 	hungUp    *prometheus.CounterVec
+	held      prometheus.Gauge
 }
 
 // New returns a set with a registry of its own.
@@ -78,13 +79,16 @@
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
 		}),
 	}
+	s.held = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "ryehill", Name: "quarantined_requests", Help: "Requests that are held since they end workers.",
+	})
 	s.keysMoved = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "ryehill", Name: "keys_moved_total", Help: "Keys that this VM has moved from pressed workers to others.",
 	})
 	s.keyAsked = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "ryehill", Name: "key_questions_total", Help: "Questions to other VMs for API keys that this VM does not know.",
 	})
-	r.MustRegister(s.duration, s.revision, s.keysMoved, s.keyAsked, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r.MustRegister(s.duration, s.held, s.revision, s.keysMoved, s.keyAsked, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
 
@@ -170,6 +174,9 @@
 	s.copies.WithLabelValues("bytes").Add(float64(bytes))
 }
 
+// Quarantined sets how many requests are held.
+func (s *Set) Quarantined(n int) { s.held.Set(float64(n)) }
+
 // HungUp counts a try at which the upstream ended the connection before it answered.
 func (s *Set) HungUp(service string) { s.hungUp.WithLabelValues(service).Inc() }
 
--- a/state/quarantine/fingerprint.go
+++ b/state/quarantine/fingerprint.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -50,14 +49,6 @@
 	return Fingerprint(hash.Sum(nil)[:FingerprintSize])
 }
 
-// IdentityOf returns the identity of a request with its credential and what is held of
-// its body.
-func IdentityOf(r *http.Request, credential string, body []byte, length int64) Identity {
-	return Identity{
-		Method: r.Method, Host: r.Host, Target: r.RequestURI, Credential: credential, Body: body, Length: length,
-	}
-}
-
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/transport/ingress/explain.go
+++ b/transport/ingress/explain.go
@@ -14,8 +14,6 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/state/decision"
-	"github.com/ryehill/ryehill/state/quarantine"
-	"github.com/ryehill/ryehill/state/worker"
 )
 
 const (
@@ -90,28 +88,11 @@
 	q.note(fmt.Sprintf("try %d", number), fmt.Sprintf("%s at %s after %d ms", text, c.Worker().ID, took))
 }
 
-// noteHangUp notes that a worker ended the connection while it had this request,
-// beside others of this VM: its process may have ended, and the request may be why.
-func (q *request) noteHangUp(w worker.Worker, others int) {
-	q.handler.cfg.Metrics.HungUp(w.Service)
-	q.note("worker hung up", fmt.Sprintf("%s at %s, %d others of this VM there", q.fingerprint(), w.ID, others))
-}
-
-// fingerprint returns what tells this request apart from others.
-func (q *request) fingerprint() quarantine.Fingerprint {
-	if q.print == nil {
-		credential, _ := q.handler.cfg.Dialect.APIKey(q.in)
-		f := quarantine.FingerprintOf(quarantine.IdentityOf(q.in, credential, q.body.held, q.body.length))
-		q.print = &f
-	}
-	return *q.print
-}
-
 // finish keeps the record of a request, and logs it if it failed or was late.
 func (q *request) finish(reason string, status int) {
 	took := time.Since(q.arrived)
 	q.record.ID, q.record.Time, q.record.VM = q.id, q.arrived, q.handler.cfg.VM
-	q.record.Subject = q.in.Method + " " + q.in.Host + q.in.URL.Path
+	q.record.Subject = q.subject()
 	q.record.Rule = reason
 	q.record.Result = fmt.Sprintf("status %d after %d ms", status, took.Milliseconds())
 	if q.route != nil {
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -89,6 +89,8 @@
 	Limiter Limiter
 	// Keys says how far what is known of API keys holds. Nil trusts it.
 	Keys Keys
+	// Quarantine knows the requests that end workers. Nil knows none.
+	Quarantine Quarantine
 }
 
 // Handler serves clients. It is safe for concurrent use.
@@ -118,6 +120,9 @@
 	if cfg.Keys == nil {
 		cfg.Keys = unbounded{}
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = noQuarantine{}
+	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), losses: newLosses(), budgets: make(map[string]*retry.Budget)}
 }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -29,6 +29,8 @@
 	notRun bool
 	// unsent is set if no byte reached the worker.
 	unsent bool
+	// hungUp is set if the worker ended the connection before it answered.
+	hungUp bool
 	err    error
 }
 
@@ -36,6 +38,12 @@
 func (q *request) run(ctx context.Context) {
 	var next *placement.Choice
 	for number := 1; ; number++ {
+		if q.refuseQuarantined() {
+			if next != nil {
+				next.Load().End()
+			}
+			return
+		}
 		s := q.handler.cfg.Snapshot()
 		if next == nil {
 			choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
@@ -93,7 +101,7 @@
 func (q *request) decide(ctx context.Context, f *failure, number int) retry.Verdict {
 	verdict := q.handler.budget(q.service).Decide(retry.Try{
 		Number: number, MaxTries: q.route.MaxAttempts, Cause: f.cause, NotRun: f.notRun, Unsent: f.unsent,
-		Repeatable: q.route.Repeatable, BodyGone: q.body.gone, Expired: ctx.Err() != nil,
+		Repeatable: q.route.Repeatable, BodyGone: q.body.gone, Expired: ctx.Err() != nil, Suspect: q.suspect(f),
 	})
 	q.handler.cfg.Metrics.Retry(string(f.cause), string(verdict))
 	return verdict
@@ -128,6 +136,7 @@
 		q.waiting = waiting
 	}
 	held.Outcome(failing(answer.Status()))
+	q.noteAnswer(answer.Status())
 	q.handler.cfg.Demand.Served(w.Service, time.Since(sent))
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
@@ -237,7 +246,8 @@
 			c.Load().Outcome(!ranOut(err))
 		}
 		if !left && failed.HungUp() {
-			q.noteHangUp(c.Worker(), c.Load().Own()-1)
+			f.hungUp = true
+			q.noteHangUp(c)
 		}
 	case upstream.KindBody:
 	}
