operator, program: the quarantine is shown, explained and released

GET /v1/quarantine, POST /v1/quarantine/ID/release; ryehill quarantine, ryehill release. An entry is saved as soon as it is made (within 0.5 s before).

--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -21,6 +21,7 @@
 	return operator.NewGateway(operator.GatewayConfig{
 		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, Find: g.decisions.Find,
 		Status: g.status, Traffic: g.traffic,
+		Quarantine: operator.QuarantineConfig{All: g.quarantines.table.All, Release: g.releaseQuarantined},
 		Intents: operator.IntentsConfig{
 			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.view, Changed: g.trafficChanged,
 		},
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -51,6 +51,8 @@
 	answered []quarantine.Fingerprint
 	// found are the entries that this VM made, until the store has them.
 	found map[quarantine.Fingerprint]bool
+	// save wakes the loop that saves them.
+	save chan struct{}
 	// compiled is the revision of the store's entries that were taken in.
 	compiled uint64
 }
@@ -59,7 +61,7 @@
 	table := quarantine.NewTable()
 	return &quarantines{
 		table: table, detector: poison.New(poison.Config{Known: table.Get}), memory: poison.NewMemory(time.Now),
-		found: make(map[quarantine.Fingerprint]bool),
+		found: make(map[quarantine.Fingerprint]bool), save: make(chan struct{}, 1),
 	}
 }
 
@@ -115,6 +117,28 @@
 	return due, answered
 }
 
+// noteFound notes that this VM is to save an entry.
+func (q *quarantines) noteFound(f quarantine.Fingerprint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.found[f] = true
+	select {
+	case q.save <- struct{}{}:
+	default:
+	}
+}
+
+// awaitSave waits until there is an entry to save, or for a while.
+func (q *quarantines) awaitSave(ctx context.Context) {
+	timer := time.NewTimer(saveLook)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-q.save:
+	}
+}
+
 // quarantineLoop tells hang-ups, and finds out what ends workers from those that this
 // VM is told.
 func (g *Gateway) quarantineLoop(ctx context.Context) {
@@ -189,9 +213,7 @@
 	if !g.quarantines.table.Hear(e) {
 		return
 	}
-	g.quarantines.mu.Lock()
-	g.quarantines.found[e.Fingerprint] = true
-	g.quarantines.mu.Unlock()
+	g.quarantines.noteFound(e.Fingerprint)
 	g.log.Info("quarantine: a request ends workers and is held", "fingerprint", e.Fingerprint.String(), "subject", e.Subject,
 		"service", e.Service, "workers", e.Workers, "times", e.Times, "until", e.Until)
 	g.cfg.Metrics.Quarantined(g.quarantines.table.Len())
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -29,7 +29,7 @@
 	kind := g.cfg.Codec.QuarantineKind()
 	g.waitForPeers(ctx, kind)
 	var listed time.Time
-	for ; ctx.Err() == nil; sleep(ctx, saveLook) {
+	for ; ctx.Err() == nil; g.quarantines.awaitSave(ctx) {
 		_, known := g.replica.At(kind)
 		unsaved := g.unsaved(time.Now())
 		if known && len(unsaved) == 0 && (!g.watches() || time.Since(listed) < listInterval) {
@@ -142,18 +142,18 @@
 	return name[:min(len(name), most)]
 }
 
-// ReleaseQuarantined lets a request run again, at all VMs. It returns ErrMissing if it is
-// not held.
-func (g *Gateway) ReleaseQuarantined(ctx context.Context, f quarantine.Fingerprint) error {
+// releaseQuarantined lets a request run again at all VMs, and reports whether it was
+// known here.
+func (g *Gateway) releaseQuarantined(ctx context.Context, f quarantine.Fingerprint) (known bool, err error) {
 	if _, ok := g.quarantines.table.Get(f); !ok {
-		return errors.Wrapf(ErrMissing, "fingerprint %s", f)
+		return false, nil
 	}
 	if err := g.cfg.Store.Delete(ctx, g.cfg.Codec.QuarantineKind(), f.String()); err != nil {
-		return errors.Wrap(err, "quarantine: release")
+		return true, errors.Wrap(err, "quarantine: release")
 	}
 	g.forgetQuarantined(f)
 	g.tellQuarantine(nil, []quarantine.Fingerprint{f})
-	return nil
+	return true, nil
 }
 
 // forgetQuarantined forgets that a request was held.
--- a/state/quarantine/quarantine.go
+++ b/state/quarantine/quarantine.go
@@ -101,6 +101,16 @@
 	Times       int      `json:"times"`
 }
 
+// MarshalJSON implements json.Marshaler.
+func (e Entry) MarshalJSON() ([]byte, error) { return e.Encode() }
+
+// UnmarshalJSON implements json.Unmarshaler. It returns ErrEntry for what is no entry.
+func (e *Entry) UnmarshalJSON(raw []byte) error {
+	var err error
+	*e, err = Decode(raw)
+	return err
+}
+
 // Encode returns the entry as JSON.
 func (e Entry) Encode() ([]byte, error) {
 	return json.Marshal(kept{
