worker: lives of a worker that starts again under its id are told apart

Cause: all that is believed of a worker was kept by its id, and its start was read nowhere, so a worker that starts again was taken for the old one: warm where it is cold, leaving where it is ready, paused for what another process did.

Change: an entry's start makes a life, by which loads, outcomes and sparing are kept and told; an older start heard late changes nothing; connections to an earlier process are closed. A worker whose port was found closed is taken as cold for 3 s, since its entry may still be that of the process before.

Workers that do not say when they started are as before.

--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -19,7 +19,7 @@
 		if w.Leaving || s.Closed[w.Hall] || s.drained(w.Service, w.Hall) {
 			continue
 		}
-		load, known := p.cfg.Loads.Known(w.ID)
+		load, known := p.cfg.Loads.Known(w.Life())
 		failing := known && (load.Paused() || load.Spared())
 		fleet.Workers[w.Service] = append(fleet.Workers[w.Service], balance.Worker{Worker: *w, Full: failing || p.cold(s, w)})
 		holding[w.Service] = append(holding[w.Service], w)
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -212,7 +212,15 @@
 // cold reports whether a worker is taken as cold.
 func (p *Placer) cold(s *Snapshot, w *worker.Worker) bool {
 	now := p.cfg.Now()
-	return now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
+	if now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall]) {
+		return true
+	}
+	load, limited := p.cfg.Loads.Limited()[w.Life()]
+	if !limited || !load.MayBeCold() {
+		return false
+	}
+	service, _ := s.Routes.Service(w.Service)
+	return service.ColdRate > 0
 }
 
 // mostSpared is the part of a service's workers that may be spared at most:
@@ -248,7 +256,7 @@
 		if s.drained(r.Service, w.Hall) {
 			continue
 		}
-		switch load, ok := limited[w.ID]; {
+		switch load, ok := limited[w.Life()]; {
 		case ok && load.Paused():
 			paused = append(paused, w)
 		case ok && load.Spared():
@@ -287,7 +295,7 @@
 			}
 			continue // Another holds the key until this one is warm.
 		}
-		seen.Busy, seen.Room = p.cfg.Loads.Of(c.ID).Busy(), holderRoom[held]*float64(c.Slots)
+		seen.Busy, seen.Room = p.cfg.Loads.Of(c.Life()).Busy(), holderRoom[held]*float64(c.Slots)
 		considered = append(considered, seen)
 		if seen.Busy < seen.Room {
 			return p.take(c, considered), RefusalNone
@@ -304,12 +312,12 @@
 // request has a free slot, whether it holds the request's key or not.
 func (p *Placer) Room(s *Snapshot, r Request) bool {
 	return slices.ContainsFunc(p.eligible(s, r), func(w *worker.Worker) bool {
-		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.ID).Busy() < float64(w.Slots)
+		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
 	})
 }
 
 func (p *Placer) take(w *worker.Worker, considered []Considered) Choice {
-	load := p.cfg.Loads.Of(w.ID)
+	load := p.cfg.Loads.Of(w.Life())
 	load.Begin()
 	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region, considered: considered}
 }
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -88,7 +88,7 @@
 	}
 	g.snapshot.Store(s)
 	g.compiledConfig.Store(config)
-	g.loads.Keep(func(id string) bool { _, ok := s.Workers.Get(id); return ok })
+	g.loads.Keep(s.Workers.Living)
 	if g.life.Current() == phaseStarting {
 		g.enter("serve")
 	}
@@ -209,6 +209,16 @@
 		return nil, err
 	}
 	w.Region = g.cfg.Halls[w.Hall]
+	if before != nil && w.Start != before.Start {
+		if w.Start < before.Start {
+			// What an earlier process writes late is not news of the one that lives.
+			older := *before
+			older.Revision = w.Revision
+			return &older, nil
+		}
+		g.log.Info("workers: started again", "worker", w.ID, "start", w.Start, "start_before", before.Start)
+		before = nil
+	}
 	if cold > 0 {
 		w.ColdUntil = ending.Heard.Add(cold)
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -49,6 +49,27 @@
 // Busy returns how many requests this VM takes a worker to hold.
 func (g *Gateway) Busy(worker string) float64 { return g.loads.Of(worker).Busy() }
 
+// Lives reports whether this VM believes in a life of a worker.
+func (g *Gateway) Lives(life string) bool {
+	s := g.snapshot.Load()
+	return s != nil && s.Workers.Living(life)
+}
+
+// Distrust makes this VM believe the worst of a life of a worker.
+func (g *Gateway) Distrust(life string) {
+	l := g.loads.Of(life)
+	l.Begin()
+	l.Failed()
+	l.Refused()
+	l.Spare(time.Minute)
+}
+
+// Distrusts reports whether this VM holds anything against a life of a worker.
+func (g *Gateway) Distrusts(life string) bool {
+	l := g.loads.Of(life)
+	return l.Paused() || l.Spared() || l.MayBeCold()
+}
+
 // Version returns the version of the routes in force, 0 before there are any.
 func (g *Gateway) Version() uint64 {
 	s := g.snapshot.Load()
@@ -110,16 +131,16 @@
 
 // Compiler returns a function that takes in a change of workers, of which some are
 // known, and makes a snapshot as a VM does.
-func Compiler(codec Codec, known object.Delta) func(change object.Delta) {
+func Compiler(codec Codec, known object.Delta) func(change object.Delta) *worker.Set {
 	known.Full = true
 	g := &Gateway{
 		cfg: Config{Codec: codec, Log: logr.Discard(), Halls: map[string]string{"kdy-b": "kandy"}},
 		log: logr.Discard(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(),
 	}
 	g.replica.Merge(known)
-	return func(change object.Delta) {
+	return func(change object.Delta) *worker.Set {
 		g.replica.Merge(change)
-		g.compileWorkers(&g.compiler, time.Now())
+		return g.compileWorkers(&g.compiler, time.Now())
 	}
 }
 
--- a/internal/gateway/halls.go
+++ b/internal/gateway/halls.go
@@ -113,7 +113,7 @@
 		sum := h.Services[w.Service]
 		sum.Slots += w.Slots
 		idle := w.Leaving || s.Closed[w.Hall] || now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
-		if !idle && !g.loads.Of(w.ID).Paused() {
+		if !idle && !g.loads.Of(w.Life()).Paused() {
 			sum.Usable += w.Slots
 		}
 		if h.Services == nil {
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -32,7 +32,7 @@
 		return
 	}
 	for id, l := range told {
-		if _, ok := s.Workers.Get(id); ok {
+		if s.Workers.Living(id) {
 			take(g.loads.Of(id), worker.Word{Requests: int(l.GetRequests()), Age: time.Duration(l.GetAgeMillis()) * time.Millisecond})
 		}
 	}
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -34,7 +34,7 @@
 		return
 	}
 	for id, left := range workers {
-		if _, ok := s.Workers.Get(id); !ok {
+		if !s.Workers.Living(id) {
 			continue
 		}
 		g.loads.Of(id).Spare(left)
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -71,7 +71,7 @@
 
 // Keep forgets the idle workers that the function does not want kept.
 func (l *Loads) Keep(wanted func(id string) bool) {
-	l.limits.keep(func(load *Load) bool { return wanted(load.id) && (load.Paused() || load.Spared()) })
+	l.limits.keep(func(load *Load) bool { return wanted(load.id) && (load.Paused() || load.Spared() || load.MayBeCold()) })
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
@@ -103,6 +103,7 @@
 	pausedTo time.Time
 	outcomes outcomes
 	sparedTo time.Time
+	refused  time.Time // when its port was last found closed
 }
 
 // Begin counts a request of this VM.
@@ -167,6 +168,26 @@
 	l.pausedTo = time.Time{}
 }
 
+// mayBeCold is for how long after its port was closed a worker may be a new process of
+// which the store has not told yet: it writes its entry at its start and each 1.5 s, and
+// news of it takes a second.
+const mayBeCold = 3 * time.Second
+
+// Refused notes that nobody listens at the worker's port: its process has ended.
+func (l *Load) Refused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refused = l.now()
+}
+
+// MayBeCold reports whether the worker may be a process that has just started, though
+// its entry is that of the one before.
+func (l *Load) MayBeCold() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.refused.IsZero() && l.now().Sub(l.refused) < mayBeCold
+}
+
 // Paused reports whether the worker should get nothing for now.
 func (l *Load) Paused() bool {
 	l.mu.Lock()
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -19,6 +19,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,7 +27,10 @@
 
 // Worker is one start of one worker. A new start has a new id.
 type Worker struct {
-	ID      string
+	ID string
+	// Start tells the lives of a worker apart that starts again under its id: the Unix
+	// millisecond of its start, 0 if it does not say.
+	Start   uint64
 	Service string
 	Address string
 	Hall    string
@@ -44,6 +48,7 @@
 	Revision uint64
 
 	hash uint64
+	life string
 }
 
 // Ending is the time that a worker has left of which it is known that it leaves, or
@@ -63,13 +68,32 @@
 func (w *Worker) Hash() uint64 { return w.hash }
 
 // SetHash sets what Hash returns.
-func (w *Worker) SetHash() { w.hash = xxhash.Sum64String(w.ID) }
+func (w *Worker) SetHash() { w.hash, w.life = xxhash.Sum64String(w.ID), lifeOf(w.ID, w.Start) }
+
+// Life names this life of the worker. What is believed of a worker's process is kept by
+// it, and told to peers by it, so that nothing is believed of the next one.
+func (w *Worker) Life() string {
+	if w.life == "" {
+		return lifeOf(w.ID, w.Start)
+	}
+	return w.life
+}
+
+// lifeOf joins an id and a start by a sign that no id has.
+func lifeOf(id string, start uint64) string {
+	if start == 0 {
+		return id
+	}
+	return id + "@" + strconv.FormatUint(start, 36)
+}
 
 // Set holds workers by service. It is safe for concurrent use; the workers must not
 // be changed.
 type Set struct {
 	services map[string][]*Worker
 	byID     map[string]*Worker
+	// byLife holds those that say when they started.
+	byLife map[string]*Worker
 }
 
 // NewSet returns a set of copies.
@@ -85,10 +109,13 @@
 // SetOf returns a set of workers whose hashes are set, and which must not be changed
 // from then on.
 func SetOf(workers []*Worker) *Set {
-	s := &Set{services: make(map[string][]*Worker), byID: make(map[string]*Worker, len(workers))}
+	s := &Set{services: make(map[string][]*Worker), byID: make(map[string]*Worker, len(workers)), byLife: make(map[string]*Worker)}
 	for _, w := range workers {
 		s.services[w.Service] = append(s.services[w.Service], w)
 		s.byID[w.ID] = w
+		if w.Start > 0 {
+			s.byLife[w.Life()] = w
+		}
 	}
 	byID := func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) }
 	for _, list := range s.services {
@@ -109,6 +136,15 @@
 	return w, ok
 }
 
+// Living reports whether a worker is there in a life of that name.
+func (s *Set) Living(life string) bool {
+	if _, ok := s.byLife[life]; ok {
+		return true
+	}
+	w, ok := s.byID[life]
+	return ok && w.Start == 0
+}
+
 // All returns all workers, in no order.
 func (s *Set) All() []*Worker { return slices.Collect(maps.Values(s.byID)) }
 
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,7 +113,7 @@
 func (q *request) try(ctx context.Context, s *placement.Snapshot, c placement.Choice, number int) (*failure, *placement.Choice) {
 	w := c.Worker()
 	q.tried = append(q.tried, w.ID)
-	q.newKey = q.keyed && !q.handler.losses.sent(w.ID, q.key)
+	q.newKey = q.keyed && !q.handler.losses.sent(w.Life(), q.key)
 	held := c.Load()
 	defer held.End()
 	meter := q.handler.cfg.Meters.Of(w.Hall)
@@ -195,7 +196,7 @@
 	if service.MaxConnections > 0 {
 		connections = max(service.MaxConnections/q.handler.cfg.VMs(), 2)
 	}
-	return upstream.Worker{ID: w.ID, Address: w.Address, Connections: connections}
+	return upstream.Worker{ID: w.ID, Start: w.Start, Address: w.Address, Connections: connections}
 }
 
 func (q *request) outgoing(workerID string) *upstream.Request {
@@ -237,6 +238,9 @@
 			c.Load().Failed()
 			c.Load().Outcome(true)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.Load().Refused()
+		}
 	case upstream.KindOther:
 		f.cause = retry.CauseUnreachable
 		c.Load().Gone()
--- a/transport/operator/gateway.go
+++ b/transport/operator/gateway.go
@@ -31,7 +31,7 @@
 	// Status returns what this VM knows of the fleet.
 	Status func(ctx context.Context) Status
 	// Traffic returns the moves and caps in force.
-	Traffic func() *spec.Traffic
+	Traffic    func() *spec.Traffic
 	Quarantine QuarantineConfig
 	// Find returns the decision on a request, by the request's id.
 	Find func(id string) (decision.Record, bool)
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -116,7 +116,10 @@
 
 // Worker is where to send a request.
 type Worker struct {
-	ID      string
+	ID string
+	// Start tells the processes apart that serve at an address one after the other; a
+	// greater one is newer. Connections to an earlier one are not used. 0 is unknown.
+	Start   uint64
 	Address string
 	// Connections bounds the open connections to it.
 	Connections int
@@ -203,7 +206,9 @@
 type pool struct {
 	mu   sync.Mutex
 	open int
-	idle []*conn // the last used one at the end
+	// start is that of the newest process of which is known.
+	start uint64
+	idle  []*conn // the last used one at the end
 }
 
 // New returns a client without connections.
@@ -259,6 +264,7 @@
 // good for the request.
 func (c *Client) connect(ctx context.Context, w Worker, once bool) (*conn, error) {
 	p := c.pool(w.Address)
+	p.begin(w.Start)
 	goodFor := c.cfg.IdleFor
 	if once {
 		goodFor = min(goodFor, c.cfg.OnceIdle)
@@ -283,7 +289,23 @@
 		p.released()
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
-	return newConn(raw, p, c.cfg.IdleFor), nil
+	made := newConn(raw, p, c.cfg.IdleFor)
+	made.start = w.Start
+	return made, nil
+}
+
+// begin closes the resting connections to earlier processes than the one that started
+// then.
+func (p *pool) begin(start uint64) {
+	p.mu.Lock()
+	var earlier []*conn
+	if start > p.start {
+		p.start, earlier, p.idle = start, p.idle, nil
+	}
+	p.mu.Unlock()
+	for _, c := range earlier {
+		c.close()
+	}
 }
 
 // takeIdle takes out the connection that was used last, if it has not rested
@@ -343,7 +365,7 @@
 func (p *pool) keep(c *conn) {
 	c.rest()
 	p.mu.Lock()
-	if len(p.idle) < maxIdle {
+	if len(p.idle) < maxIdle && c.start >= p.start {
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
 		return
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -21,6 +21,7 @@
 	reader *bufio.Reader
 	pool   *pool
 	since  time.Time // when it was last put aside
+	start  uint64    // of the process that it was opened to
 	// idleFor is how long it may be put aside: what the upstream announced,
 	// less a margin, if it announced anything.
 	idleFor time.Duration
