platform, gateway: an entry of another writer names no worker, and hides no other

Cause: any writer can put an entry into the store. One with a field missing or negative was used as far as it could be read (an unknown state as leaving, 0 slots as 1, any text as an address); one that could not be decoded made its whole list or watch unreadable; each was logged anew at every change.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -97,14 +97,16 @@
 // compileRoutes takes in a newer configuration. One that cannot be read, or is
 // older than the one in force, changes nothing.
 func (g *Gateway) compileRoutes(c *compiler) {
-	for _, o := range g.replica.Objects(g.cfg.Codec.ConfigKind()) {
+	objects := g.replica.Objects(g.cfg.Codec.ConfigKind())
+	g.unused.keep(g.cfg.Codec.ConfigKind(), objects)
+	for _, o := range objects {
 		if o.Revision <= c.configRevision || o.Revision == c.refusedRevision {
 			continue
 		}
 		cfg, err := g.cfg.Codec.Routes(o)
 		if err != nil {
 			c.refusedRevision = o.Revision
-			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Revision)
+			g.unused.add(g.cfg.Codec.ConfigKind(), o, err)
 			continue
 		}
 		c.configRevision = o.Revision
@@ -148,7 +150,7 @@
 		}
 		t, _, err := decodeTraffic(o)
 		if err != nil {
-			g.log.Error(err, "traffic: not taken", "revision", o.Revision)
+			g.unused.add(g.cfg.Codec.TrafficKind(), o, err)
 			continue
 		}
 		c.traffic, c.trafficVersion = view.Empty().WithTraffic(&t), o.Revision
@@ -174,9 +176,12 @@
 	for _, o := range objects {
 		w, ok := c.workers[o.Name]
 		if !ok || w.Revision != o.Revision {
+			if !ok && g.unused.known(g.cfg.Codec.WorkerKind(), o) {
+				continue
+			}
 			changed, err := g.compileWorker(o, w, ending)
 			if err != nil {
-				g.log.Error(err, "workers: entry not taken", "worker", o.Name)
+				g.unused.add(g.cfg.Codec.WorkerKind(), o, err)
 				continue
 			}
 			w = changed
@@ -189,6 +194,7 @@
 		}
 		list = append(list, w)
 	}
+	g.unused.keep(g.cfg.Codec.WorkerKind(), objects)
 	kept := lapsed(c.workers, next, now, g.away.graceEnd())
 	if len(kept) > 0 {
 		g.log.Info("workers: entries lapsed while the store was away are believed for now", "entries", len(kept), "listed", len(list))
@@ -208,7 +214,11 @@
 	if err != nil {
 		return nil, err
 	}
-	w.Region = g.cfg.Halls[w.Hall]
+	region, ok := g.cfg.Halls[w.Hall]
+	if !ok {
+		return nil, object.NewFault(object.ReasonHall, "hall %.64q is unknown", w.Hall)
+	}
+	w.Region = region
 	if before != nil && w.Start != before.Start {
 		if w.Start < before.Start {
 			// What an earlier process writes late is not news of the one that lives.
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/object"
@@ -135,7 +136,7 @@
 	known.Full = true
 	g := &Gateway{
 		cfg: Config{Codec: codec, Log: logr.Discard(), Halls: map[string]string{"kdy-b": "kandy"}},
-		log: logr.Discard(), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(),
+		log: logr.Discard(), unused: newUnused(logr.Discard(), metrics.New()), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(),
 	}
 	g.replica.Merge(known)
 	return func(change object.Delta) *worker.Set {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,8 @@
 	relayed   *relayed
 	gate      *gate
 	quotas    *quotas
+	// unused are the store's entries that cannot be used.
+	unused *unused
 	// quarantines are the requests that end workers.
 	quarantines *quarantines
 	// keyQuestions bounds the questions for API keys that nobody knows.
@@ -129,7 +131,7 @@
 		meters:   load.NewHallMeters(time.Now), judge: outlier.New(outlier.Config{Now: time.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
 		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{}, keyQuestions: newKeyQuestions(),
-		quarantines: newQuarantines(),
+		quarantines: newQuarantines(), unused: newUnused(cfg.Log, cfg.Metrics),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/quarantine"
 )
 
@@ -108,12 +109,15 @@
 		return
 	}
 	var entries []quarantine.Entry
-	for _, o := range g.replica.Objects(kind) {
+	objects := g.replica.Objects(kind)
+	g.unused.keep(kind, objects)
+	for _, o := range objects {
 		e, err := decodeEntry(o.Spec, time.Now())
-		if err != nil || e.Fingerprint.String() != o.Name {
-			if o.Revision > q.compiled {
-				g.log.Info("quarantine: an entry of the store is not used", "name", cutName(o.Name), "revision", o.Revision, "error", errorText(err))
-			}
+		if err == nil && e.Fingerprint.String() != o.Name {
+			err = object.NewFault(object.ReasonName, "%.64q is not its fingerprint", o.Name)
+		}
+		if err != nil {
+			g.unused.add(kind, o, err)
 			continue
 		}
 		entries = append(entries, e)
@@ -128,20 +132,6 @@
 	g.cfg.Metrics.Quarantined(q.table.Len())
 }
 
-// errorText returns why an entry is not used.
-func errorText(err error) string {
-	if err == nil {
-		return "its name is not its fingerprint"
-	}
-	return err.Error()
-}
-
-// cutName bounds a name for a log line.
-func cutName(name string) string {
-	const most = 64
-	return name[:min(len(name), most)]
-}
-
 // releaseQuarantined lets a request run again at all VMs, and reports whether it was
 // known here.
 func (g *Gateway) releaseQuarantined(ctx context.Context, f quarantine.Fingerprint) (known bool, err error) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -45,6 +45,7 @@
 	keyAsked  prometheus.Counter
 	hungUp    *prometheus.CounterVec
 	held      prometheus.Gauge
+	unused    *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -74,6 +75,7 @@
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
 		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
+		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -177,6 +179,9 @@
 // Quarantined sets how many requests are held.
 func (s *Set) Quarantined(n int) { s.held.Set(float64(n)) }
 
+// Unused counts a version of an entry of the store that is not used.
+func (s *Set) Unused(kind, reason string) { s.unused.WithLabelValues(kind, reason).Inc() }
+
 // HungUp counts a try at which the upstream ended the connection before it answered.
 func (s *Set) HungUp(service string) { s.hungUp.WithLabelValues(service).Inc() }
 
--- a/internal/program/print.go
+++ b/internal/program/print.go
@@ -91,6 +91,9 @@
 	for _, upstream := range s.Leaving {
 		printf(table, "drained upstream\t%s\t\t\t\t\n", upstream)
 	}
+	for _, e := range s.Unused {
+		printf(table, "not used: %s\t%s\t%s\t\t\t\n", e.Kind, e.Name, e.Reason)
+	}
 	for _, m := range s.Members {
 		printf(table, "VM %s\t%s\t%s\t\t\t\n", m.VM, m.Hall, m.State)
 	}
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -37,6 +37,15 @@
 	Moves      []spec.Move       `json:"moves"`
 	Caps       []spec.Cap        `json:"caps"`
 	Leaving    []string          `json:"leaving"`
+	// Unused are some of the store's entries that the VM cannot use.
+	Unused []UnusedEntry `json:"unused,omitempty"`
+}
+
+// UnusedEntry is an entry of the store that is not used, and why.
+type UnusedEntry struct {
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Reason string `json:"reason"`
 }
 
 // statusPatience is how long a status waits for the platform: an operator who
