--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -152,4 +152,19 @@
 off refute coordination/membership/membership.go 't.self.Incarnation = m.Incarnation + 1' '' ./coordination/membership 'TestCutHall|TestFrozen'
 off controller-back coordination/controller/controller.go 'case free < least/2 && m.Share > 0 || s.Usable == 0:' 'case false:' ./coordination/controller TestRules
 off controller-stale coordination/controller/controller.go 'if !ok || source.Age(f.Now) > intent.FreshStatus {' 'if !ok {' ./coordination/controller TestRules
+off quarantine-found internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./internal/gateway 'TestRequestThatEndsWorkers/plain'
+off quarantine-told internal/gateway/quarantine.go 'go g.tellQuarantine([]quarantine.Entry{e}, nil)' '' ./internal/gateway 'TestRequestThatEndsWorkers/the_store'
+off quarantine-kept internal/gateway/quarantinestore.go 'err := g.saveQuarantine(ctx, unsaved)' 'err := g.saveQuarantine(ctx, nil)' ./platform 'TestSessions/quarantine'
+off quarantine-answered coordination/poison/poison.go 'ok && !s.found {
+		delete' 'ok && !s.found && false {
+		delete' ./coordination/poison TestDetector
+off quarantine-explained coordination/poison/poison.go 'e.explained = true' '' ./coordination/poison TestDetector
+off soak-deadly internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./platform 'TestSoak/seed_9002'
+off lives-apart state/worker/worker.go 'return id + "@" + strconv.FormatUint(start, 36)' 'return id' ./internal/gateway TestNothingOfAnEarlierLife
+off older-life internal/gateway/compile.go 'if w.Start < before.Start {' 'if false {' ./internal/gateway TestNewestLife
+off entry-checked platform/worker.go 'if err := e.check(o.Name, time.Now()); err != nil {' 'if err := e.check(o.Name, time.Now()); err != nil && o.Name == "" {' ./platform TestEntriesOfOtherWriters
+off entries-one-by-one platform/store.go 'if json.Unmarshal(item, &o) == nil && o.Metadata.Name != "" {' 'if err := json.Unmarshal(item, &o); err != nil {
+			return err
+		} else {' ./platform TestNeighboursOfFaulty
+off clock-sleeps internal/clock/clock.go 's.slept = slept' '' ./internal/clock TestSuspensionsCount
 exit $missed
