--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -50,6 +50,9 @@
 // Busy returns how many requests this VM takes a worker to hold.
 func (g *Gateway) Busy(worker string) float64 { return g.loads.Of(worker).Busy() }
 
+// Quarantined returns how many requests this VM knows to end workers.
+func (g *Gateway) Quarantined() int { return g.quarantines.table.Len() }
+
 // Lives reports whether this VM believes in a life of a worker.
 func (g *Gateway) Lives(life string) bool {
 	s := g.snapshot.Load()
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -293,3 +293,34 @@
 		f.until(v.name+" serves again", v.ready)
 	}
 }
+
+// A VM that nobody sent the request to knows of it too, also while the store is away.
+func TestAllVMsAreToldWhatEndsWorkers(t *testing.T) {
+	f := newFleet(t)
+	f.repeatableConfig(2)
+	m := &mortals{}
+	t.Cleanup(m.close)
+	for i := range 6 {
+		m.start(f, fmt.Sprintf("w%d", i), []string{"north-a", "north-b", "south-a"}[i%3])
+	}
+	for i := range 6 {
+		f.start(fmt.Sprintf("v%d", i), []string{"north-a", "north-b", "south-a"}[i%3], nil)
+	}
+	for _, v := range f.vms {
+		f.until(v.name+" knows all", func() bool { return len(f.addresses(v, "north")) == 4 && len(f.addresses(v, "south")) == 2 })
+		v.door.set(true, false)
+	}
+	f.until("three workers have ended", func() bool {
+		f.vms[0].ask(deadly)
+		_, ok := m.third()
+		return ok
+	})
+	f.within(time.Second, "all know", func() bool {
+		for _, v := range f.vms {
+			if v.Quarantined() != 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -153,7 +153,7 @@
 off controller-back coordination/controller/controller.go 'case free < least/2 && m.Share > 0 || s.Usable == 0:' 'case false:' ./coordination/controller TestRules
 off controller-stale coordination/controller/controller.go 'if !ok || source.Age(f.Now) > intent.FreshStatus {' 'if !ok {' ./coordination/controller TestRules
 off quarantine-found internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./internal/gateway 'TestRequestThatEndsWorkers/plain'
-off quarantine-told internal/gateway/quarantine.go 'go g.tellQuarantine([]quarantine.Entry{e}, nil)' '' ./internal/gateway 'TestRequestThatEndsWorkers/the_store'
+off quarantine-told internal/gateway/quarantine.go 'go g.tellQuarantine([]quarantine.Entry{e}, nil)' '' ./internal/gateway TestAllVMsAreTold
 off quarantine-kept internal/gateway/quarantinestore.go 'err := g.saveQuarantine(ctx, unsaved)' 'err := g.saveQuarantine(ctx, nil)' ./platform 'TestSessions/quarantine'
 off quarantine-answered coordination/poison/poison.go 'ok && !s.found {
 		delete' 'ok && !s.found && false {
