worker: one that may have started again while the store is silent is taken as cold

Cause: only the entry says that a worker is cold; a closed port was remembered for 3 s, and that the worker had ended its connections not at all.

Change: a VM remembers when a worker ended all its kept connections or hung up, and when its port was closed. While the store has confirmed nothing since and for more than 2 s, such a worker is taken as cold for as long as one is after its start. In calm nothing changes: a hang-up or a reset alone makes no worker cold.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -148,7 +148,8 @@
 // Remote reports whether the worker is in another region.
 func (c Choice) Remote() bool { return c.remote }
 
-// Config sets up a Placer. All fields are required but Holders and Demand.
+// Config sets up a Placer. All fields are required but Holders,
+// Demand and Confirmed.
 type Config struct {
 	// Hall and Region are those of this VM.
 	Hall, Region string
@@ -161,6 +162,9 @@
 	Holders *holders.Table
 	// Demand counts what callers ask for. Nil counts nothing.
 	Demand *demand.Meter
+	// Confirmed returns when the store last confirmed what is known of workers. Nil is
+	// always just now.
+	Confirmed func() time.Time
 }
 
 // Placer chooses workers. It is safe for concurrent use.
@@ -174,6 +178,9 @@
 	if cfg.Demand == nil {
 		cfg.Demand = demand.NewMeter(cfg.Region)
 	}
+	if cfg.Confirmed == nil {
+		cfg.Confirmed = cfg.Now
+	}
 	return &Placer{cfg: cfg}
 }
 
@@ -216,11 +223,11 @@
 		return true
 	}
 	load, limited := p.cfg.Loads.Limited()[w.Life()]
-	if !limited || !load.MayBeCold() {
+	if !limited {
 		return false
 	}
 	service, _ := s.Routes.Service(w.Service)
-	return service.ColdRate > 0
+	return service.ColdRate > 0 && load.MayBeCold(p.cfg.Confirmed(), service.ColdStart)
 }
 
 // mostSpared is the part of a service's workers that may be spared at most:
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/holders"
@@ -71,7 +72,7 @@
 // Distrusts reports whether this VM holds anything against a life of a worker.
 func (g *Gateway) Distrusts(life string) bool {
 	l := g.loads.Of(life)
-	return l.Paused() || l.Spared() || l.MayBeCold()
+	return l.Paused() || l.Spared() || l.MayBeCold(clock.Now(), 0)
 }
 
 // Version returns the version of the routes in force, 0 before there are any.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	g.placer = placement.New(placement.Config{
 		Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: clock.Now,
 		Holders: g.balancer.table, Demand: g.balancer.meter,
+		Confirmed: func() time.Time { return g.replica.Confirmed(cfg.Codec.WorkerKind()) },
 	})
 	g.quotas = newQuotas(g)
 	g.ingress = ingress.New(ingress.Config{
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -5,12 +5,16 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/worker"
 )
 
@@ -81,3 +85,66 @@
 		}
 	}
 }
+
+// What users saw: a cold worker was pressed. Workers of a service had ended and started
+// again under their ids while the store was away, so that no entry told of their starts.
+// All VMs took them for warm, and gave each its whole share at once: 24 and 26 requests in
+// a second where a cold worker bears 21. What a VM itself sees then is that the worker ended
+// its connections, or that its port was closed.
+func TestWorkersThatReturnWhileTheStoreIsAway(t *testing.T) {
+	const coldRate, coldStart = 11.0, 5 * time.Second
+	f := newFleet(t)
+	f.store.put(kindConfig, "main", route.Config{
+		Version: 2, Services: []route.Service{{Name: "s", ColdRate: coldRate, ColdStart: coldStart}},
+		Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/", Timeout: 3 * time.Second, Repeatable: true, MaxAttempts: 2,
+			Targets: []route.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	m := &mortals{}
+	t.Cleanup(m.close)
+	for i := range 3 {
+		m.start(f, fmt.Sprintf("w%d", i), "north-a")
+	}
+	for i := range 4 {
+		f.start(fmt.Sprintf("v%d", i), "north-a", nil)
+	}
+	for _, v := range f.vms {
+		f.until(v.name+" knows all", func() bool { return len(f.addresses(v, "north")) == 4 })
+	}
+	stop := make(chan struct{})
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		f.press("/popular", 8*time.Millisecond, stop)
+	}()
+	time.Sleep(time.Second) // All VMs have connections to all workers.
+	for _, v := range f.vms {
+		v.door.set(true, false)
+	}
+	time.Sleep(2500 * time.Millisecond) // Longer than the store is silent in calm.
+	back := m.endOne("w0")
+	time.Sleep(coldStart - time.Second)
+	close(stop)
+	<-sent
+	served := m.servedBy("w0", back, back.Add(coldStart-time.Second))
+	if n, most := mostInASecond(served), coldRate*1.5+5; float64(n) > most {
+		t.Errorf("a worker that had just started got %d requests in a second, want at most %.1f", n, most)
+	}
+	if len(served) == 0 {
+		t.Error("it got none at all")
+	}
+}
+
+// mostInASecond returns the most of the moments within any second.
+func mostInASecond(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -42,11 +42,37 @@
 	ends []time.Time
 	// runs are the moments at which the deadly request reached one.
 	runs []time.Time
+	// servers are the processes that run now, and served when each served a request.
+	servers map[string]*http.Server
+	served  map[string][]time.Time
 	// closed is set once the test is over.
 	closed bool
 	open   sync.WaitGroup
 }
 
+// endOne ends a worker as the deadly request does, and returns when it is back.
+func (m *mortals) endOne(id string) time.Time {
+	m.mu.Lock()
+	s := m.servers[id]
+	m.mu.Unlock()
+	_ = s.Close()
+	time.Sleep(downFor)
+	return time.Now()
+}
+
+// servedBy returns when a worker served requests between two moments.
+func (m *mortals) servedBy(id string, from, to time.Time) []time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var served []time.Time
+	for _, at := range m.served[id] {
+		if at.After(from) && at.Before(to) {
+			served = append(served, at)
+		}
+	}
+	return served
+}
+
 // start starts a worker of service s in a hall, and starts it again each time that it
 // ends.
 func (m *mortals) start(f *fleet, id, hall string) {
@@ -87,6 +113,9 @@
 	var once sync.Once
 	s = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != deadly {
+			m.mu.Lock()
+			m.served[id] = append(m.served[id], time.Now())
+			m.mu.Unlock()
 			time.Sleep(5 * time.Millisecond)
 			fmt.Fprint(w, id)
 			return
@@ -102,6 +131,12 @@
 			_ = s.Close()
 		})
 	})}
+	m.mu.Lock()
+	if m.servers == nil {
+		m.servers, m.served = make(map[string]*http.Server), make(map[string][]time.Time)
+	}
+	m.servers[id] = s
+	m.mu.Unlock()
 	go func() {
 		for {
 			m.mu.Lock()
@@ -158,6 +193,12 @@
 	})
 }
 
+// press sends requests for a path to VMs by chance until the test stops it.
+func (f *fleet) press(path string, every time.Duration, stop <-chan struct{}) {
+	var served, failed atomic.Int64
+	f.send(path, every, stop, func() bool { return true }, &served, &failed)
+}
+
 // send sends requests for a path to VMs by chance until the test stops it, and counts
 // those that were served after the time for the fleet to know.
 func (f *fleet) send(path string, every time.Duration, stop <-chan struct{}, after func() bool, served, failed *atomic.Int64) {
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -162,6 +162,7 @@
 off soak-deadly internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./platform 'TestSoak/seed_9002'
 off lives-apart state/worker/worker.go 'return id + "@" + strconv.FormatUint(start, 36)' 'return id + strconv.FormatUint(start, 36)[:0]' ./internal/gateway TestNothingOfAnEarlierLife
 off older-life internal/gateway/compile.go 'if w.Start < before.Start {' 'if false {' ./internal/gateway TestNewestLife
+off returned-cold coordination/placement/placement.go 'return service.ColdRate > 0 && load.MayBeCold(' 'return service.ColdRate < 0 && load.MayBeCold(' ./internal/gateway TestWorkersThatReturn
 off entry-checked platform/worker.go 'if err := e.check(o.Name, time.Now()); err != nil {' 'if err := e.check(o.Name, time.Now()); err != nil && o.Name == "" {' ./platform TestEntriesOfOtherWriters
 off entries-one-by-one platform/store.go 'if json.Unmarshal(item, &o) == nil && o.Metadata.Name != "" {' 'if err := json.Unmarshal(item, &o); err != nil {
 			return err
--- a/state/worker/life_test.go
+++ b/state/worker/life_test.go
@@ -31,18 +31,44 @@
 // A worker whose port was closed may have started again, with an entry that is still
 // the one of before: it is taken as cold until there is time for news of it.
 func TestPortThatWasClosed(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	loads := worker.NewLoads(clock.Now)
-	l := loads.Of("w")
-	l.Failed()
-	l.Refused()
-	clock.Advance(2 * time.Second)
-	loads.Keep(func(string) bool { return true })
-	if _, kept := loads.Limited()["w"]; !kept || !l.MayBeCold() {
-		t.Error("forgotten after 2 s")
+	const coldStart = 8 * time.Second
+	cases := map[string]struct {
+		happens func(l *worker.Load)
+		// news is whether the store goes on to confirm what is known of workers.
+		news bool
+		// cold is for how long the worker is taken as cold, and from is when that begins.
+		from, cold time.Duration
+	}{
+		"closed":                         {(*worker.Load).Refused, true, 0, 3 * time.Second},
+		"closed, the store silent":       {(*worker.Load).Refused, false, 0, coldStart},
+		"connections ended":              {(*worker.Load).Ended, true, 0, 0},
+		"connections ended, no store":    {(*worker.Load).Ended, false, 2500 * time.Millisecond, coldStart - 2500*time.Millisecond},
+		"nothing, though without store":  {func(*worker.Load) {}, false, 0, 0},
+		"closed, then connections ended": {func(l *worker.Load) { l.Refused(); l.Ended() }, true, 0, 3 * time.Second},
 	}
-	clock.Advance(2 * time.Second)
-	if l.MayBeCold() {
-		t.Error("still taken as cold after 4 s")
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const step = 500 * time.Millisecond
+			clock := clockwork.NewFakeClock()
+			loads := worker.NewLoads(clock.Now)
+			l, begun := loads.Of("w"), clock.Now()
+			l.Failed()
+			c.happens(l)
+			for at := time.Duration(0); at < 12*time.Second; at += step {
+				loads.Keep(func(string) bool { return true })
+				confirmed := begun
+				if c.news {
+					confirmed = clock.Now()
+				}
+				want := at >= c.from && at < c.from+c.cold
+				if _, kept := loads.Limited()["w"]; want && !kept {
+					t.Fatalf("forgotten after %s", at)
+				}
+				if l.MayBeCold(confirmed, coldStart) != want {
+					t.Fatalf("after %s taken as cold: %t", at, !want)
+				}
+				clock.Advance(step)
+			}
+		})
 	}
 }
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -71,7 +71,9 @@
 
 // Keep forgets the idle workers that the function does not want kept.
 func (l *Loads) Keep(wanted func(id string) bool) {
-	l.limits.keep(func(load *Load) bool { return wanted(load.id) && (load.Paused() || load.Spared() || load.MayBeCold()) })
+	l.limits.keep(func(load *Load) bool {
+		return wanted(load.id) && (load.Paused() || load.Spared() || load.endedLately())
+	})
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
@@ -104,6 +106,7 @@
 	outcomes outcomes
 	sparedTo time.Time
 	refused  time.Time // when its port was last found closed
+	ended    time.Time // when its process last seemed to have ended
 }
 
 // Begin counts a request of this VM.
@@ -168,10 +171,20 @@
 	l.pausedTo = time.Time{}
 }
 
-// mayBeCold is for how long after its port was closed a worker may be a new process of
-// which the store has not told yet: it writes its entry at its start and each 1.5 s, and
-// news of it takes a second.
-const mayBeCold = 3 * time.Second
+const (
+	// mayBeCold is for how long after its port was closed a worker may be a new process of
+	// which the store has not told yet: it writes its entry at its start and each 1.5 s, and
+	// news of it takes a second.
+	mayBeCold = 3 * time.Second
+	// newsOfStart is within what time after a process has ended the store has the entry of
+	// the next one, if it is there.
+	newsOfStart = 1500 * time.Millisecond
+	// storeSilent is the age of what is known of workers from which on the store counts as
+	// silent. In calm it is below a second and a half.
+	storeSilent = 2 * time.Second
+	// maxColdStart bounds for how long a worker may be taken as cold without news of it.
+	maxColdStart = 30 * time.Second
+)
 
 // Refused notes that nobody listens at the worker's port: its process has ended.
 func (l *Load) Refused() {
@@ -180,12 +193,47 @@
 	l.refused = l.now()
 }
 
+// Ended notes that the worker ended all connections that were looked at: its process may
+// have ended.
+func (l *Load) Ended() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = l.now()
+	l.limits.add(l)
+}
+
 // MayBeCold reports whether the worker may be a process that has just started, though
-// its entry is that of the one before.
-func (l *Load) MayBeCold() bool {
+// its entry is that of the one before. Confirmed is when the store last confirmed what is
+// known of workers, coldStart for how long one is cold after its start. While the store is
+// silent nothing tells of a start but what the worker's port does.
+func (l *Load) MayBeCold(confirmed time.Time, coldStart time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if !l.refused.IsZero() && now.Sub(l.refused) < mayBeCold {
+		return true
+	}
+	last := l.lastEnd()
+	if last.IsZero() || now.Sub(last) >= min(max(coldStart, mayBeCold), maxColdStart) {
+		return false
+	}
+	return confirmed.Before(last.Add(newsOfStart)) && now.Sub(confirmed) > storeSilent
+}
+
+// lastEnd returns when the worker's process last seemed to have ended.
+func (l *Load) lastEnd() time.Time {
+	if l.ended.After(l.refused) {
+		return l.ended
+	}
+	return l.refused
+}
+
+// endedLately reports whether MayBeCold may still say so.
+func (l *Load) endedLately() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.refused.IsZero() && l.now().Sub(l.refused) < mayBeCold
+	last := l.lastEnd()
+	return !last.IsZero() && l.now().Sub(last) < maxColdStart
 }
 
 // Paused reports whether the worker should get nothing for now.
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -136,6 +136,9 @@
 		held.Told(running, waiting)
 		q.waiting = waiting
 	}
+	if answer.Renewed() {
+		held.Ended()
+	}
 	held.Outcome(failing(answer.Status()))
 	q.noteAnswer(answer.Status())
 	q.handler.cfg.Demand.Served(w.Service, q.since(sent))
@@ -251,6 +254,7 @@
 		}
 		if !left && failed.HungUp() {
 			f.hungUp = true
+			c.Load().Ended()
 			q.noteHangUp(c)
 		}
 	case upstream.KindBody:
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -78,10 +78,12 @@
 	kind   Kind
 	notRun bool
 	hungUp bool
-	step   string
-	worker string
-	cause  error
-	header http.Header
+	// renewed is set if all kept connections had been closed by the upstream.
+	renewed bool
+	step    string
+	worker  string
+	cause   error
+	header  http.Header
 }
 
 // Kind returns how the try failed.
@@ -96,6 +98,10 @@
 // whose process ends.
 func (e *Error) HungUp() bool { return e.hungUp }
 
+// Renewed reports whether the upstream had closed all kept connections that were good
+// still, so that a new one was opened.
+func (e *Error) Renewed() bool { return e.renewed }
+
 // Header returns the header of a refusal by the upstream, or nil.
 func (e *Error) Header() http.Header { return e.header }
 
@@ -275,6 +281,7 @@
 	if once {
 		goodFor = min(goodFor, c.cfg.OnceIdle)
 	}
+	closed := false
 	for {
 		kept := p.takeIdle(goodFor, c.cfg.Now())
 		if kept == nil {
@@ -284,6 +291,7 @@
 			return kept, nil
 		}
 		kept.close()
+		closed = true
 	}
 	if !p.reserve(w.Connections) {
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
@@ -296,7 +304,7 @@
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
 	made := newConn(raw, p, c.cfg.IdleFor)
-	made.start = w.Start
+	made.start, made.renewed = w.Start, closed
 	return made, nil
 }
 
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -22,6 +22,9 @@
 	pool   *pool
 	since  time.Time // when it was last put aside
 	start  uint64    // of the process that it was opened to
+	// renewed is set while it is used for the first time, if it was opened since the
+	// upstream had closed all others.
+	renewed bool
 	// idleFor is how long it may be put aside: what the upstream announced,
 	// less a margin, if it announced anything.
 	idleFor time.Duration
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -38,15 +38,20 @@
 
 // Answer is the answer of an upstream. Close must be called.
 type Answer struct {
-	status int
-	header http.Header
-	length int64
-	body   *answerBody
+	renewed bool
+	status  int
+	header  http.Header
+	length  int64
+	body    *answerBody
 }
 
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.status }
 
+// Renewed reports whether the upstream had closed all kept connections that were good
+// still, so that a new one was opened.
+func (a *Answer) Renewed() bool { return a.renewed }
+
 // Header returns the header fields.
 func (a *Answer) Header() http.Header { return a.header }
 
@@ -101,7 +106,7 @@
 func (x *exchange) fail(ctx context.Context, err error) error {
 	x.end(false)
 	<-x.sendDone
-	e := &Error{kind: KindBroken, notRun: !x.given.Load(), step: "read head", worker: x.worker.ID, cause: err}
+	e := &Error{kind: KindBroken, renewed: x.conn.renewed, notRun: !x.given.Load(), step: "read head", worker: x.worker.ID, cause: err}
 	switch {
 	case x.bodyErr != nil:
 		e.kind, e.step, e.cause = KindBody, "read the caller's body", x.bodyErr
@@ -147,7 +152,9 @@
 		return nil, &Error{kind: KindBroken, step: "answer has neither length nor chunks", worker: x.worker.ID}
 	}
 	body := &answerBody{exchange: x, in: res.Body, keep: !res.Close && !lengthless}
-	return &Answer{status: res.StatusCode, header: res.Header, length: res.ContentLength, body: body}, nil
+	renewed := x.conn.renewed
+	x.conn.renewed = false
+	return &Answer{renewed: renewed, status: res.StatusCode, header: res.Header, length: res.ContentLength, body: body}, nil
 }
 
 // readHead reads up to the final head, passing over informational ones and, on
