--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -101,7 +101,7 @@
 			Targets: []route.Target{{Service: "s", Weight: 1}},
 		}},
 	})
-	m := &mortals{}
+	m := &crashWorkers{}
 	t.Cleanup(m.close)
 	for i := range 3 {
 		m.start(f, fmt.Sprintf("w%d", i), "north-a")
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -159,7 +159,7 @@
 		delete' 'ok && !s.found && false {
 		delete' ./coordination/poison TestDetector
 off quarantine-explained coordination/poison/poison.go 'e.explained = true' '_ = e' ./coordination/poison TestDetector
-off soak-deadly internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./platform 'TestSoak/seed_9002'
+off soak-poison internal/gateway/quarantine.go 'if !g.quarantines.table.Hear(e) {' 'if true {' ./platform 'TestSoak/seed_9002'
 off lives-apart state/worker/worker.go 'return id + "@" + strconv.FormatUint(start, 36)' 'return id + strconv.FormatUint(start, 36)[:0]' ./internal/gateway TestNothingOfAnEarlierLife
 off older-life internal/gateway/compile.go 'if w.Start < before.Start {' 'if false {' ./internal/gateway TestNewestLife
 off returned-cold coordination/placement/placement.go 'return service.ColdRate > 0 && load.MayBeCold(' 'return service.ColdRate < 0 && load.MayBeCold(' ./internal/gateway TestWorkersThatReturn
