ingress: reads what workers say of themselves

That a worker leaves, or wants rest, stands in the heads of its answers, and nothing read it; no VM's output could tell whether it was heard. Both are decoded in platform/, noted in the request's record, logged once a worker and counted. No decision rests on them yet.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzDecodeObject -fuzztime 20s ./state/spec
 	go test -run '^$$' -fuzz FuzzRead -fuzztime 20s ./protocol/wire
-	go test -run '^$$' -fuzz FuzzWorker -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz '^FuzzWorker$$' -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz FuzzWorkerWords -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzBalanceFromPeers -fuzztime 20s ./internal/gateway
 
 # A soak of the real daemons with faults from outside them; see docs/SOAK.md.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -386,7 +386,17 @@
 	return running, 0, err == nil
 }
 
+func (dialect) Leaving(h http.Header) bool { return h.Get("Leaving") != "" }
+
+func (dialect) Rest(status int, h http.Header) (time.Duration, bool) {
+	rest, err := time.ParseDuration(h.Get("Rest"))
+	return rest, err == nil && status == http.StatusServiceUnavailable
+}
+
 func (dialect) Refused(res *http.Response) (upstream.Kind, bool) {
+	if res.Header.Get("Not-Run") != "" {
+		return upstream.KindShed, true
+	}
 	return upstream.KindOther, res.StatusCode == http.StatusMisdirectedRequest
 }
 func (dialect) Belongs(_ *upstream.Request, _ *http.Response) bool { return true }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -44,6 +44,8 @@
 	copies    *prometheus.CounterVec
 	keyAsked  prometheus.Counter
 	hungUp    *prometheus.CounterVec
+	rests     *prometheus.CounterVec
+	leaving   *prometheus.CounterVec
 	held      prometheus.Gauge
 	unused    *prometheus.CounterVec
 }
@@ -75,6 +77,8 @@
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
 		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
+		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
+		leaving:   counter(r, "upstream_leaving_total", "Upstreams that said in an answer to this VM that they leave, by service.", "service"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -185,6 +189,12 @@
 // HungUp counts a try at which the upstream ended the connection before it answered.
 func (s *Set) HungUp(service string) { s.hungUp.WithLabelValues(service).Inc() }
 
+// AskedForRest counts a refusal by an upstream that wants nothing from this VM for a time.
+func (s *Set) AskedForRest(service string) { s.rests.WithLabelValues(service).Inc() }
+
+// SaidLeaving counts an upstream that said for the first time that it leaves.
+func (s *Set) SaidLeaving(service string) { s.leaving.WithLabelValues(service).Inc() }
+
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -107,6 +107,7 @@
 	sparedTo time.Time
 	refused  time.Time // when its port was last found closed
 	ended    time.Time // when its process last seemed to have ended
+	signals  signals
 }
 
 // Begin counts a request of this VM.
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -59,6 +59,11 @@
 	Address(h http.Header, workerID string, left time.Duration)
 	// Load returns the requests that a worker runs and holds, from an answer.
 	Load(h http.Header) (running, waiting int, ok bool)
+	// Leaving reports whether a worker says in an answer that it leaves.
+	Leaving(h http.Header) bool
+	// Rest returns for how long a worker wants nothing from this VM, by the status
+	// and head of an answer.
+	Rest(status int, h http.Header) (time.Duration, bool)
 }
 
 // Config sets up a Handler. All fields but Retry and those that say
@@ -91,6 +96,9 @@
 	Keys Keys
 	// Quarantine knows the requests that end workers. Nil knows none.
 	Quarantine Quarantine
+	// LeaveWithin is for how long after a worker has said that it leaves it may get
+	// requests. Default 0: it gets none.
+	LeaveWithin time.Duration
 	// Now tells the time, that of suspensions included. Default time.Now.
 	Now func() time.Time
 }
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -61,6 +61,13 @@
 	return 0, waiting, err == nil
 }
 
+func (plain) Leaving(h http.Header) bool { return h.Get("Leaving") != "" }
+
+func (plain) Rest(status int, h http.Header) (time.Duration, bool) {
+	rest, err := time.ParseDuration(h.Get("Rest"))
+	return rest, err == nil && status == http.StatusServiceUnavailable
+}
+
 func (plain) Refused(res *http.Response) (upstream.Kind, bool) {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return upstream.KindOther, true
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -132,10 +132,7 @@
 		next.Load().End() // The answer came at the last moment.
 	}
 	defer answer.Close()
-	if running, waiting, ok := q.handler.cfg.Dialect.Load(answer.Header()); ok {
-		held.Told(running, waiting)
-		q.waiting = waiting
-	}
+	q.waiting = q.hear(c, answer.Status(), answer.Header())
 	if answer.Renewed() {
 		held.Ended()
 	}
@@ -225,8 +222,8 @@
 	}
 	f.notRun = failed.NotRun()
 	f.unsent = failed.Kind() == upstream.KindUnreachable || failed.Kind() == upstream.KindBusy
-	if running, waiting, ok := q.handler.cfg.Dialect.Load(failed.Header()); ok {
-		c.Load().Told(running, waiting)
+	if failed.Kind() != upstream.KindOther { // Else another worker says it of itself.
+		q.hear(c, failed.Status(), failed.Header())
 	}
 	left := q.in.Context().Err() != nil
 	switch failed.Kind() {
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -84,6 +84,8 @@
 	worker  string
 	cause   error
 	header  http.Header
+	// status is that of a refusal by the upstream, or 0.
+	status int
 }
 
 // Kind returns how the try failed.
@@ -105,6 +107,9 @@
 // Header returns the header of a refusal by the upstream, or nil.
 func (e *Error) Header() http.Header { return e.header }
 
+// Status returns the HTTP status of a refusal by the upstream, or 0.
+func (e *Error) Status() int { return e.status }
+
 // Step returns the step at which the try failed.
 func (e *Error) Step() string { return e.step }
 
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -142,7 +142,7 @@
 	if !ok {
 		return nil
 	}
-	return &Error{kind: kind, notRun: true, step: "upstream's answer", worker: x.worker.ID, header: res.Header}
+	return &Error{kind: kind, notRun: true, step: "upstream's answer", worker: x.worker.ID, header: res.Header, status: res.StatusCode}
 }
 
 func (x *exchange) answer(res *http.Response) (*Answer, error) {
