worker: what a worker says of itself in its answers holds at once

Cause: a worker's word that it leaves or wants rest stands in its answers, and nothing acted on it: leaving was known from the store alone, and a refusal ended one try. Ruled out: late news from the store or peers (no VM could know from there), a single path that does not ask (every VM sent on), want of room (two thirds had room).

Change: signals are kept in the record of a worker's life (state/worker). One answer, Loads.Standing, says whether this VM may send it a request now, why not and until when; placement, balance, lapse and status ask it. Leaving is told to other VMs with questions for news, answers and probes. A rest moves only the keys of the worker that rests, spills to other regions what does not fit, and ends in a ramp; if all rest, the caller is refused at once with the time after which one is awake.

--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -10,18 +10,17 @@
 )
 
 // Fleet returns what the keys of all regions' callers are to be balanced over.
-// Workers that are cold, or have failed lately, keep the keys they hold and are
+// Workers that are cold, have failed lately or rest keep the keys they hold and are
 // given no others.
 func (p *Placer) Fleet(s *Snapshot) balance.Fleet {
 	fleet := balance.Fleet{Workers: make(map[string][]balance.Worker)}
-	holding := make(map[string][]*worker.Worker)
+	holding, now := make(map[string][]*worker.Worker), p.cfg.Now()
 	for _, w := range s.Workers.All() {
-		if w.Leaving || s.Closed[w.Hall] || s.drained(w.Service, w.Hall) {
+		if _, leaves := p.leaving(s, w); leaves || s.drained(w.Service, w.Hall) {
 			continue
 		}
-		load, known := p.cfg.Loads.Known(w.Life())
-		failing := known && (load.Paused() || load.Spared())
-		fleet.Workers[w.Service] = append(fleet.Workers[w.Service], balance.Worker{Worker: *w, Full: failing || p.cold(s, w)})
+		_, ready := p.cfg.Loads.Standing(w, now).(worker.Ready)
+		fleet.Workers[w.Service] = append(fleet.Workers[w.Service], balance.Worker{Worker: *w, Full: !ready || p.cold(s, w)})
 		holding[w.Service] = append(holding[w.Service], w)
 	}
 	fleet.Hashed = func(key demand.Key) (string, bool) {
--- a/coordination/placement/handover.go
+++ b/coordination/placement/handover.go
@@ -29,17 +29,28 @@
 	leadPart = 0.05
 )
 
-// ended reports whether a worker must get nothing more.
-func (s *Snapshot) ended(w *worker.Worker, now time.Time) bool {
-	return w.Leaving && !w.Ending.Open(now) || s.Closed[w.Hall] && !s.Closing[w.Hall].Open(now)
+// closing returns how long the workers of a closed hall have left.
+func (s *Snapshot) closing(hall string) (worker.Leaving, bool) {
+	return worker.Leaving{Ending: s.Closing[hall], From: worker.FromStore}, s.Closed[hall]
 }
 
-// ending returns how long a worker has left, if it is one that leaves.
-func (s *Snapshot) ending(w *worker.Worker) (worker.Ending, bool) {
-	if w.Leaving {
-		return w.Ending, true
+// leaving returns how long a worker has left, if it is one that leaves or whose hall is
+// closed: whichever binds first.
+func (p *Placer) leaving(s *Snapshot, w *worker.Worker) (worker.Leaving, bool) {
+	closing, closed := s.closing(w.Hall)
+	leaving, leaves := p.cfg.Loads.Leaving(w)
+	if closed && (!leaves || closing.Until.Before(leaving.Until)) {
+		return closing, true
 	}
-	return s.Closing[w.Hall], s.Closed[w.Hall]
+	return leaving, leaves
+}
+
+// standing returns the standing of a worker, that of its hall included.
+func (p *Placer) standing(s *Snapshot, w *worker.Worker, now time.Time) worker.Standing {
+	if closing, closed := s.closing(w.Hall); closed && !closing.Open(now) {
+		return worker.Left{Leaving: closing}
+	}
+	return p.cfg.Loads.Standing(w, now)
 }
 
 // handOver puts the workers that leave behind the others for a request that goes
@@ -49,12 +60,12 @@
 	if !ok {
 		return
 	}
-	ending, leaves := s.ending(first)
-	if !leaves || r.Keyed && !goesAhead(p.cfg.Now().Sub(ending.Heard)) {
+	leaving, leaves := p.leaving(s, first)
+	if !leaves || r.Keyed && !goesAhead(p.cfg.Now().Sub(leaving.Heard)) {
 		return
 	}
 	list.putLast(func(w *worker.Worker) bool {
-		_, leaves := s.ending(w)
+		_, leaves := p.leaving(s, w)
 		return leaves
 	})
 }
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -55,6 +55,9 @@
 	RefusalNoWorker Refusal = "no-worker"
 	// RefusalBusy means that the workers which hold its key have no room.
 	RefusalBusy Refusal = "busy"
+	// RefusalResting means that all workers that may get the request want nothing for
+	// now; Choice.Wait says for how long.
+	RefusalResting Refusal = "resting"
 	// RefusalCold means that only cold workers are left and their rate is
 	// used up.
 	RefusalCold Refusal = "cold"
@@ -101,6 +104,8 @@
 	steered    string
 	moved      bool
 	considered []Considered
+	wait       time.Duration
+	passedOver string
 }
 
 // Considered is a worker that was looked at, and why it was or was not taken.
@@ -141,6 +146,14 @@
 // it there; it is empty for one that nothing steered.
 func (c Choice) Steered() string { return c.steered }
 
+// Wait returns after what time a worker may get the request, if all of them rest, and
+// else 0.
+func (c Choice) Wait() time.Duration { return c.wait }
+
+// PassedOver describes the worker that would hold the request's key, if it gets nothing
+// for what it has said of itself; else it is empty.
+func (c Choice) PassedOver() string { return c.passedOver }
+
 // Moved reports whether a move or the balance between regions took the request
 // away from the hall that would hold its key at home.
 func (c Choice) Moved() bool { return c.moved }
@@ -190,19 +203,36 @@
 	if !r.Keyed {
 		r.Key = rand.Uint64()
 	}
-	eligible := p.eligible(s, r)
-	if len(eligible) == 0 {
-		return Choice{}, RefusalNoWorker
+	workers := p.eligible(s, r)
+	if len(workers.awake) == 0 {
+		return p.noneAwake(workers)
 	}
-	to := p.destination(s, r, eligible)
+	to := p.destination(s, r, workers.all())
 	p.count(r)
-	choice, refusal := p.chooseAt(s, r, eligible, to)
+	choice, refusal := p.chooseAwake(s, r, workers, to)
+	choice.passedOver = p.passedOver(r, workers, choice)
+	return choice, refusal
+}
+
+// chooseAwake chooses a worker among those that do not rest. Where a key belongs does not
+// depend on rests: they are short, and each VM has others.
+func (p *Placer) chooseAwake(s *Snapshot, r Request, workers eligible, to destination) (Choice, Refusal) {
+	choice, refusal := p.chooseAt(s, r, workers.awake, to)
+	if refusal == RefusalNone {
+		return choice, refusal
+	}
+	if len(workers.resting) > 0 && refusal != RefusalCold {
+		// Too few are awake there for the keys of those that rest.
+		if others := outside(workers.awake, to.region); len(others) > 0 {
+			return p.chooseAt(s, r, others, p.placed(shareOut(p.cfg.Region, s, others, r)))
+		}
+	}
 	if refusal != RefusalCold {
 		return choice, refusal
 	}
 	// Its own region is cold, say after a closed hall opened again: those that
 	// have held its keys meanwhile are warm.
-	warm := slices.DeleteFunc(eligible, func(w *worker.Worker) bool { return p.cold(s, w) })
+	warm := slices.DeleteFunc(workers.awake, func(w *worker.Worker) bool { return p.cold(s, w) })
 	if len(warm) == 0 {
 		return choice, RefusalCold
 	}
@@ -230,57 +260,6 @@
 	return service.ColdRate > 0 && load.MayBeCold(p.cfg.Confirmed(), service.ColdStart)
 }
 
-// mostSpared is the part of a service's workers that may be spared at most:
-// the others have to carry the load.
-const mostSpared = 1.0 / 3
-
-// drained reports whether an operator has drained a service out of a hall, so
-// that it must get nothing more, also while the move's targets have no room.
-func (s *Snapshot) drained(service, hall string) bool {
-	if s.Traffic == nil {
-		return false
-	}
-	for _, m := range s.Traffic.Moves(service, hall) {
-		if m.Settled() {
-			return true
-		}
-	}
-	return false
-}
-
-// eligible returns the workers that may get the request. Those that failed just
-// now are left out unless nothing else is there, and so are those that are
-// spared, unless these are too many.
-func (p *Placer) eligible(s *Snapshot, r Request) []*worker.Worker {
-	all := s.Workers.Service(r.Service)
-	usable := make([]*worker.Worker, 0, len(all))
-	var paused, spared []*worker.Worker
-	now, limited := p.cfg.Now(), p.cfg.Loads.Limited()
-	for _, w := range all {
-		if s.ended(w, now) || slices.Contains(r.Tried, w.ID) || r.Allows != nil && !r.Allows(w.Region) {
-			continue
-		}
-		if s.drained(r.Service, w.Hall) {
-			continue
-		}
-		switch load, ok := limited[w.Life()]; {
-		case ok && load.Paused():
-			paused = append(paused, w)
-		case ok && load.Spared():
-			spared = append(spared, w)
-		default:
-			usable = append(usable, w)
-		}
-	}
-	if float64(len(spared)) > mostSpared*float64(len(usable)+len(spared)) {
-		usable = append(usable, spared...)
-	}
-	if len(usable) == 0 {
-		return paused
-	}
-	return usable
-}
-
 // choose takes the first holder of the key in a region while that has room, then
 // the second one if it is nearly idle. Cold workers hold no key yet; they get
 // what their rate allows.
@@ -318,7 +297,7 @@
 // Room reports whether any warm worker in the VM's region that may get the
 // request has a free slot, whether it holds the request's key or not.
 func (p *Placer) Room(s *Snapshot, r Request) bool {
-	return slices.ContainsFunc(p.eligible(s, r), func(w *worker.Worker) bool {
+	return slices.ContainsFunc(p.eligible(s, r).awake, func(w *worker.Worker) bool {
 		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
 	})
 }
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -164,7 +164,7 @@
 // end. The store took that after the moment up to which it is known to have said
 // otherwise.
 func (g *Gateway) ending(kind string, now time.Time) worker.Ending {
-	return worker.Ending{Heard: now, Until: g.replica.TakeChangedFrom(kind).Add(g.cfg.Bounds.ApplyWithin - applyMargin)}
+	return worker.Ending{Heard: now, Until: g.replica.TakeChangedFrom(kind).Add(g.leaveWithin())}
 }
 
 // compileWorkers returns the workers as the replica has them. Those that have not
@@ -197,7 +197,7 @@
 		list = append(list, w)
 	}
 	g.unused.keep(g.cfg.Codec.WorkerKind(), objects)
-	kept := lapsed(c.workers, next, now, g.away.graceEnd())
+	kept := lapsed(c.workers, next, now, g.away.graceEnd(), g.loads)
 	if len(kept) > 0 {
 		g.log.Info("workers: entries lapsed while the store was away are believed for now", "entries", len(kept), "listed", len(list))
 	}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -60,6 +60,12 @@
 	return s != nil && s.Workers.Living(life)
 }
 
+// Leaves reports whether this VM knows a life of a worker to be leaving by anybody's word.
+func (g *Gateway) Leaves(life string) bool {
+	_, leaves := g.loads.LeavingByWord()[life]
+	return leaves
+}
+
 // Distrust makes this VM believe the worst of a life of a worker.
 func (g *Gateway) Distrust(life string) {
 	l := g.loads.Of(life)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,7 @@
 		Meters: g.meters,
 		VMs:    func() int { return len(g.members.All()) + 1 },
 		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g, Quarantine: g.quarantines, Now: clock.Now,
-		LeaveWithin: cfg.Bounds.ApplyWithin - applyMargin,
+		LeaveWithin: g.leaveWithin(),
 		Retry:       retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
 	})
 	if err := g.listen(); err != nil {
--- a/internal/gateway/halls.go
+++ b/internal/gateway/halls.go
@@ -15,6 +15,7 @@
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/view"
+	"github.com/ryehill/ryehill/state/worker"
 	"github.com/ryehill/ryehill/transport/peer"
 )
 
@@ -101,8 +102,18 @@
 	return &peerpb.Reported{Status: status}
 }
 
-// fillSlots adds the slots of workers. Those of workers that are cold, paused
-// after failures, leaving or in a closed hall are not usable.
+// takesWork reports whether a worker of a standing takes what is sent to it.
+func takesWork(standing worker.Standing) bool {
+	switch standing.(type) {
+	case worker.Ready, worker.Spared:
+		return true
+	default:
+		return false
+	}
+}
+
+// fillSlots adds the slots of workers. Those of workers that are cold, leave, rest, failed
+// just now or are in a closed hall are not usable.
 func (g *Gateway) fillSlots(s *placement.Snapshot, halls map[string]load.HallStatus) {
 	now := clock.Now()
 	for _, w := range s.Workers.All() {
@@ -112,8 +123,9 @@
 		}
 		sum := h.Services[w.Service]
 		sum.Slots += w.Slots
-		idle := w.Leaving || s.Closed[w.Hall] || now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
-		if !idle && !g.loads.Of(w.Life()).Paused() {
+		_, leaves := g.loads.Leaving(w)
+		cold := now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall])
+		if !leaves && !cold && !s.Closed[w.Hall] && takesWork(g.loads.Standing(w, now)) {
 			sum.Usable += w.Slots
 		}
 		if h.Services == nil {
--- a/internal/gateway/lapse.go
+++ b/internal/gateway/lapse.go
@@ -55,14 +55,17 @@
 
 // lapsed returns the workers that were believed and whose entries are missing,
 // but may only have lapsed while the store was away. Workers that had said that
-// they leave are not among them.
-func lapsed(before, listed map[string]*worker.Worker, now, graceEnd time.Time) []*worker.Worker {
+// they leave, to the store or in answers, are not among them.
+func lapsed(before, listed map[string]*worker.Worker, now, graceEnd time.Time, loads *worker.Loads) []*worker.Worker {
 	if !now.Before(graceEnd) {
 		return nil
 	}
 	var kept []*worker.Worker
 	for id, w := range before {
-		if _, ok := listed[id]; !ok && !w.Leaving {
+		if _, ok := listed[id]; ok {
+			continue
+		}
+		if _, leaves := loads.Leaving(w); !leaves {
 			kept = append(kept, w)
 		}
 	}
--- a/internal/gateway/lapse_test.go
+++ b/internal/gateway/lapse_test.go
@@ -59,7 +59,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			kept := gateway.Lapsed(before, listed, now, c.graceEnd)
+			kept := gateway.Lapsed(before, listed, now, c.graceEnd, worker.NewLoads(time.Now))
 			if len(kept) != c.want || c.want > 0 && kept[0].ID != "gone" {
 				t.Errorf("kept %v", kept)
 			}
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -6,6 +6,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/state/worker"
 )
 
 // What users saw: requests still reached a back end 2.6 s after an answer had told the VM
@@ -114,3 +117,39 @@
 		t.Errorf("%d of %d requests were lost though others have room", lost, served+lost)
 	}
 }
+
+// One VM is told by a worker that it leaves; the others know soon after, those of another
+// region and one that starts later among them, while the store is away: callers lose
+// nothing when it ends.
+func TestVMsTellEachOtherWhoLeaves(t *testing.T) {
+	const tellWithin = 1500 * time.Millisecond
+	f, workers := signalFleet(t, 3, 4)
+	south := f.start("south", "south-a", nil)
+	f.until("south serves", south.ready)
+	f.until("all know it", func() bool { return len(f.addresses(f.vms[0], "south")) == 1 })
+	f.shutStore(true)
+	leaver := workers[0]
+	leaver.leave(true)
+	f.until("one VM has its word", func() bool { f.vms[0].ask("/?vm=v0"); return f.vms[0].Leaves(leaver.id) })
+	f.within(tellWithin, "all VMs know", func() bool {
+		for _, v := range f.vms {
+			if !v.Leaves(leaver.id) {
+				return false
+			}
+		}
+		return true
+	})
+	late := f.start("late", "north-b", func(_ *gateway.Config, d *door) { d.set(true, false) })
+	f.until("late serves", late.ready)
+	f.within(tellWithin, "it knows as well", func() bool { return late.Leaves(leaver.id) })
+	f.store.put(kindWorkers, leaver.id, leaver.entry("north-a", 7))
+	f.shutStore(false)
+	late.door.set(false, false)
+	next := worker.Worker{ID: leaver.id, Start: 7}
+	for _, v := range f.vms {
+		f.until(v.name+" knows its next life", func() bool { return v.Lives(next.Life()) })
+		if v.Leaves(next.Life()) {
+			t.Errorf("%s takes the next life for leaving", v.name)
+		}
+	}
+}
--- a/state/worker/limits.go
+++ b/state/worker/limits.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 )
 
-// limits holds the workers that are or were paused or spared lately, so that the
+// limits holds the workers that have a standing of their own, or had one lately, so that the
 // choice among a thousand workers need not ask each of them. Readers take an
 // immutable map and no lock.
 type limits struct {
@@ -60,6 +60,6 @@
 	return nil
 }
 
-// Limited returns, by id, the workers that may be paused or spared; all others are
+// Limited returns, by life, the workers that may have a standing of their own; all others are
 // neither. The map must not be changed.
 func (l *Loads) Limited() map[string]*Load { return l.limits.all() }
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -69,16 +69,27 @@
 	return load, ok
 }
 
-// Keep forgets the idle workers that the function does not want kept.
+// signalsHeld reports whether what the worker has said of itself still matters; living is
+// whether it has an entry.
+func (l *Load) signalsHeld(living bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signals.held(living, l.now())
+}
+
+// Keep forgets the idle workers that the function does not want kept, but for those
+// whose own words still hold.
 func (l *Loads) Keep(wanted func(id string) bool) {
 	l.limits.keep(func(load *Load) bool {
-		return wanted(load.id) && (load.Paused() || load.Spared() || load.endedLately())
+		living := wanted(load.id)
+		return load.signalsHeld(living) || living && (load.Paused() || load.Spared() || load.endedLately())
 	})
+	limited := l.Limited()
 	for i := range l.shards {
 		s := &l.shards[i]
 		s.mu.Lock()
 		for id, load := range s.loads {
-			if !wanted(id) && load.Own() == 0 {
+			if !wanted(id) && load.Own() == 0 && limited[id] != load {
 				delete(s.loads, id)
 			}
 		}
@@ -170,6 +181,7 @@
 	defer l.mu.Unlock()
 	l.failures = 0
 	l.pausedTo = time.Time{}
+	l.signals.answered(l.now())
 }
 
 const (
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -3,7 +3,34 @@
 
 package worker
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// maxRest bounds a rest. A worker that asks for more, by mistake or not, is tried
+	// again after so long, since nothing but an answer can end a rest.
+	maxRest = 5 * time.Minute
+	// restSpread is by what part of its length a rest is prolonged at most, by chance,
+	// and maxRestSpread bounds that: VMs that were turned away together come back apart.
+	restSpread    = 0.2
+	maxRestSpread = 500 * time.Millisecond
+	// rampLimit is up to how many requests of this VM a worker that has rested is
+	// brought by and by, from one on, twice as many after each answer. rampFor bounds
+	// the time that takes.
+	rampLimit = 16
+	rampFor   = 5 * time.Second
+	// leavingKept is for how long it is remembered that a worker leaves whose entry is
+	// gone: entries that lapse while the store is away come back, and say ready.
+	leavingKept = 2 * time.Minute
+)
+
+// Where it is known from that a worker leaves, if not from a VM.
+const (
+	FromAnswer = "its answer"
+	FromStore  = "the store"
+)
 
 // Signal is what a worker says of itself in the head of an answer, beside its load. It
 // concerns the life that said it, and holds at once: the store hears of it seconds
@@ -13,7 +40,7 @@
 // Leaving says that the worker is about to end and wants no new requests.
 type Leaving struct {
 	Ending
-	// From is the VM that heard it from the worker, "" for this one.
+	// From is FromAnswer, FromStore or the VM that has told it.
 	From string
 }
 
@@ -23,21 +50,26 @@
 func (Leaving) isSignal() {}
 func (Rest) isSignal()    {}
 
-// signals are what one worker has said of itself.
+// signals are what one life of a worker has said of itself.
 type signals struct {
 	// leaving is the word that binds earliest, the zero value if there is none.
 	leaving Leaving
-	// restEnd is when the last of the rests ends that the worker asked for.
-	restEnd time.Time
+	// restEnd is when the last of the rests ends that the worker asked for, and awake
+	// when this VM comes back, which is not before that.
+	restEnd, awake time.Time
+	// allowance is how many requests of this VM the worker may have under way after its
+	// rest, 0 for any number.
+	allowance int
 }
 
-// leaves reports whether the worker has said that it is about to end.
+// leaves reports whether the worker is known to be about to end.
 func (s *signals) leaves() bool { return !s.leaving.Until.IsZero() }
 
 // Hear takes in a signal, and reports whether it is the first one of its kind that
 // holds. Whatever the order in which signals come, and however often, the same is
 // believed in the end: the earliest word of leaving binds, since a worker that leaves
-// does not stay, and each rest lasts to its own end.
+// does not stay, and each rest lasts to its own end, which a shorter one after it does
+// not bring forward.
 func (l *Load) Hear(signal Signal) (first bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -48,11 +80,44 @@
 			l.signals.leaving = s
 		}
 	case Rest:
-		now := l.now()
-		first = !now.Before(l.signals.restEnd)
-		if end := now.Add(s.For); end.After(l.signals.restEnd) {
-			l.signals.restEnd = end
-		}
+		first = l.signals.hearRest(min(s.For, maxRest), l.now())
+	}
+	l.limits.add(l)
+	return first
+}
+
+func (s *signals) hearRest(rest time.Duration, now time.Time) (first bool) {
+	first = !now.Before(s.restEnd)
+	if end := now.Add(rest); end.After(s.restEnd) {
+		spread := min(time.Duration(float64(rest)*restSpread), maxRestSpread)
+		s.restEnd, s.awake = end, end.Add(rand.N(spread+1))
 	}
+	s.allowance = 1
 	return first
 }
+
+// answered brings the worker more requests after its rest.
+func (s *signals) answered(now time.Time) {
+	if s.allowance == 0 || now.Before(s.awake) {
+		return
+	}
+	if s.allowance *= 2; s.allowance > rampLimit {
+		s.allowance = 0
+	}
+}
+
+// rests returns when the worker may get a request again, with so many of this VM under
+// way, if that is not now.
+func (s *signals) rests(own int, now time.Time) (until time.Time, ok bool) {
+	if now.Before(s.awake) {
+		return s.awake, true
+	}
+	ramped := s.allowance == 0 || now.Sub(s.awake) >= rampFor
+	return now, !ramped && own >= s.allowance
+}
+
+// held reports whether the signals still matter at a moment, of a worker that has an entry
+// or of one that has none.
+func (s *signals) held(living bool, now time.Time) bool {
+	return s.leaves() && (living || now.Sub(s.leaving.Heard) < leavingKept) || now.Sub(s.awake) < rampFor
+}
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -136,13 +136,19 @@
 	return w, ok
 }
 
-// Living reports whether a worker is there in a life of that name.
-func (s *Set) Living(life string) bool {
-	if _, ok := s.byLife[life]; ok {
-		return true
+// Life returns the worker that is there in a life of that name.
+func (s *Set) Life(life string) (*Worker, bool) {
+	if w, ok := s.byLife[life]; ok {
+		return w, true
 	}
 	w, ok := s.byID[life]
-	return ok && w.Start == 0
+	return w, ok && w.Start == 0
+}
+
+// Living reports whether a worker is there in a life of that name.
+func (s *Set) Living(life string) bool {
+	_, ok := s.Life(life)
+	return ok
 }
 
 // All returns all workers, in no order.
--- a/transport/ingress/answer.go
+++ b/transport/ingress/answer.go
@@ -41,7 +41,8 @@
 	// is passed on. One that breaks off before can still be had elsewhere.
 	bufferedAnswer = 256 << 10
 	// comeBack and comeBackSpread say after what time a refused client may
-	// come back. The spread keeps those refused together apart.
+	// come back, if no worker is known to be ready only later. The spread keeps
+	// those refused together apart.
 	comeBack       = 100 * time.Millisecond
 	comeBackSpread = 150 * time.Millisecond
 )
@@ -99,7 +100,7 @@
 func (q *request) refuse(reason string) {
 	q.handler.cfg.Metrics.Refused(reason)
 	q.finish(reason, http.StatusServiceUnavailable)
-	after := comeBack + rand.N(comeBackSpread)
+	after := max(comeBack, q.wait) + rand.N(comeBackSpread)
 	q.out.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	q.end(http.StatusServiceUnavailable)
 }
--- a/transport/ingress/explain.go
+++ b/transport/ingress/explain.go
@@ -68,6 +68,9 @@
 	if c.Steered() != "" {
 		q.note("steered", c.Steered())
 	}
+	if c.PassedOver() != "" {
+		q.note("passed over", c.PassedOver())
+	}
 }
 
 // noteTry notes how a try ended.
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -236,6 +236,8 @@
 	// print is the fingerprint, nil while nobody has asked for it.
 	print *quarantine.Fingerprint
 	tried []string
+	// wait is after what time a worker may get the request, if all of them rest.
+	wait time.Duration
 	// mayHaveRun is set once a worker was given the request and did not say
 	// that it has not run it.
 	mayHaveRun bool
--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -26,7 +26,7 @@
 	}
 	if cfg.Dialect.Leaving(header) {
 		now := cfg.Now()
-		q.hearSignal(c, worker.Leaving{Ending: worker.Ending{Heard: now, Until: now.Add(cfg.LeaveWithin)}})
+		q.hearSignal(c, worker.Leaving{Ending: worker.Ending{Heard: now, Until: now.Add(cfg.LeaveWithin)}, From: worker.FromAnswer})
 	}
 	if rest, asked := cfg.Dialect.Rest(status, header); asked {
 		q.hearSignal(c, worker.Rest{For: rest})
