--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -232,7 +232,7 @@
 	}
 	// Its own region is cold, say after a closed hall opened again: those that
 	// have held its keys meanwhile are warm.
-	warm := slices.DeleteFunc(workers.awake, func(w *worker.Worker) bool { return p.cold(s, w) })
+	warm := slices.DeleteFunc(workers.awake, func(w *worker.Worker) bool { return p.Cold(s, w) })
 	if len(warm) == 0 {
 		return choice, RefusalCold
 	}
@@ -246,8 +246,8 @@
 	}
 }
 
-// cold reports whether a worker is taken as cold.
-func (p *Placer) cold(s *Snapshot, w *worker.Worker) bool {
+// Cold reports whether a worker is taken as cold.
+func (p *Placer) Cold(s *Snapshot, w *worker.Worker) bool {
 	now := p.cfg.Now()
 	if now.Before(w.ColdUntil) || now.Before(s.WarmAt[w.Hall]) {
 		return true
@@ -270,7 +270,7 @@
 	ranking := p.ranked(r, workers, region)
 	p.handOver(s, r, ranking)
 	for c, ok := ranking.next(); ok; c, ok = ranking.next() {
-		seen := Considered{ID: c.ID, Hall: c.Hall, Region: region, Cold: p.cold(s, c)}
+		seen := Considered{ID: c.ID, Hall: c.Hall, Region: region, Cold: p.Cold(s, c)}
 		if seen.Cold {
 			considered = append(considered, seen)
 			if p.cfg.Cold.Take(c, service.ColdRate) {
@@ -298,7 +298,7 @@
 // request has a free slot, whether it holds the request's key or not.
 func (p *Placer) Room(s *Snapshot, r Request) bool {
 	return slices.ContainsFunc(p.eligible(s, r).awake, func(w *worker.Worker) bool {
-		return w.Region == p.cfg.Region && !p.cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
+		return w.Region == p.cfg.Region && !p.Cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
 	})
 }
 
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -66,6 +66,16 @@
 	return leaves
 }
 
+// SawEnd makes this VM see that a life of a worker ends its connections.
+func (g *Gateway) SawEnd(life string) { g.loads.Of(life).Ended() }
+
+// Cold reports whether this VM takes a worker as cold.
+func (g *Gateway) Cold(id string) bool {
+	s := g.snapshot.Load()
+	w, ok := s.Workers.Get(id)
+	return ok && g.placer.Cold(s, w)
+}
+
 // Distrust makes this VM believe the worst of a life of a worker.
 func (g *Gateway) Distrust(life string) {
 	l := g.loads.Of(life)
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -148,3 +148,33 @@
 	}
 	return most
 }
+
+// What users saw: cold workers were pressed again. A worker had ended and started again
+// while the store was away; the VM that saw it end took it as cold, the others, which had
+// no connection to it just then, as warm, and gave it their whole share at once.
+//
+// The cause is that a VM kept to itself that a worker seemed to have ended. What proved it:
+// the senders of the requests in the worker's first second (the soak prints them).
+func TestVMsTellEachOtherWhoHasEnded(t *testing.T) {
+	const tellWithin = 1500 * time.Millisecond
+	f, vms := threeVMs(t)
+	life := worker.Worker{ID: "w1"}
+	f.store.put(kindConfig, "main", route.Config{
+		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 5 * time.Second}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+	})
+	for _, v := range vms {
+		f.until(v.name+" has the configuration", func() bool { return v.Version() == 2 })
+	}
+	f.shutStore(true)
+	time.Sleep(2500 * time.Millisecond) // Longer than the store is silent in calm.
+	vms[0].SawEnd(life.Life())
+	f.within(tellWithin, "all VMs take it as cold", func() bool {
+		for _, v := range vms {
+			if !v.Cold(life.ID) {
+				return false
+			}
+		}
+		return true
+	})
+}
