gateway: VMs tell each other who has ended while the store is silent

Cause: a VM that saw a worker's connections end kept it to itself; those without a connection to it took the next process for warm. Result: TestVMsTellEachOtherWhoHasEnded passes (before: not within 15 s).

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -62,8 +62,7 @@
 
 // Leaves reports whether this VM knows a life of a worker to be leaving by anybody's word.
 func (g *Gateway) Leaves(life string) bool {
-	_, leaves := g.loads.LeavingByWord()[life]
-	return leaves
+	return !g.loads.Told()[life].Leaving.Until.IsZero()
 }
 
 // SawEnd makes this VM see that a life of a worker ends its connections.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,7 @@
 }
 
 func (g *Gateway) probeMessage(to string) *peerpb.Probe {
-	p := &peerpb.Probe{Replicas: make(map[string]uint64), LeavingMillis: g.leavingMillis()}
+	p := &peerpb.Probe{Replicas: make(map[string]uint64), Signals: g.toldSignals()}
 	for _, kind := range g.replicatedKinds() {
 		p.Replicas[kind] = g.replica.Content(kind)
 	}
@@ -88,7 +88,7 @@
 // this VM has not, unless its region's watcher is about to tell it.
 func (g *Gateway) hear(from peer.Target, p *peerpb.Probe) {
 	g.members.Heard(peer.DecodeNews(p.GetNews()))
-	g.hearLeaving(from.VM, p.GetLeavingMillis())
+	g.hearSignals(from.VM, p.GetSignals())
 	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.At(kind)
 		theirs := p.GetReplicas()[kind]
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -50,7 +50,7 @@
 	g.hearListedVMs(answer.GetListedVms())
 	g.hearSpared(answer.GetSparedMillis())
 	g.hearLoads(answer.GetLoads())
-	g.hearLeaving(q.from.VM, answer.GetLeavingMillis())
+	g.hearSignals(q.from.VM, answer.GetSignals())
 	if q.hold > 0 {
 		g.loadsMark.set(q.from.VM, answer.GetLoadsMark())
 	}
@@ -72,7 +72,7 @@
 func (g *Gateway) newsQuestion(q question) *peerpb.Sync {
 	ask := &peerpb.Sync{
 		Since: g.replicaRevisions(), HoldMillis: uint32(q.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(q.depth),
-		LeavingMillis: g.leavingMillis(),
+		Signals: g.toldSignals(),
 	}
 	if q.hold > 0 {
 		ask.Outcomes = toOutcomes(g.takeOutcomes())
@@ -134,7 +134,7 @@
 	}
 	g.hearOutcomes(ask.GetOutcomes())
 	g.passOnLoads(ask.GetLoads())
-	g.hearLeaving(peerThatAsks, ask.GetLeavingMillis())
+	g.hearSignals(peerThatAsks, ask.GetSignals())
 	if b := ask.GetBalance(); b.GetRegion() == g.region() {
 		g.balancer.meter.Add(fromBalance(b))
 	}
@@ -195,7 +195,7 @@
 // addShared adds to an answer what the VMs of a region share beside the store's
 // objects. The returned function is to be called once the answer has been sent.
 func (g *Gateway) addShared(answer *peerpb.Synced, ask *peerpb.Sync) (sent func()) {
-	answer.SparedMillis, answer.LeavingMillis = g.sparedMillis(), g.leavingMillis()
+	answer.SparedMillis, answer.Signals = g.sparedMillis(), g.toldSignals()
 	if ask.GetHoldMillis() > 0 {
 		answer.Loads, answer.LoadsMark = g.loadsAfter(ask.GetLoadsMark())
 	}
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -21,6 +21,10 @@
 	// the time that takes.
 	rampLimit = 16
 	rampFor   = 5 * time.Second
+	// sameEnd is by how much later an end may seem that is known already: its age does not
+	// count its way. Without it an end that comes back from the VM that was told of it
+	// would seem ever later.
+	sameEnd = time.Second
 	// leavingKept is for how long it is remembered that a worker leaves whose entry is
 	// gone: entries that lapse while the store is away come back, and say ready.
 	leavingKept = 2 * time.Minute
@@ -32,9 +36,9 @@
 	FromStore  = "the store"
 )
 
-// Signal is what a worker says of itself in the head of an answer, beside its load. It
-// concerns the life that said it, and holds at once: the store hears of it seconds
-// later, or never.
+// Signal is what a worker says of itself in the head of an answer, beside its load, or
+// shows by its connections. It concerns the life that said it, and holds at once: the store
+// hears of it seconds later, or never.
 type Signal interface{ isSignal() }
 
 // Leaving says that the worker is about to end and wants no new requests.
@@ -47,7 +51,12 @@
 // Rest says that the worker wants nothing from this VM for a time.
 type Rest struct{ For time.Duration }
 
+// Ended says that the worker's process seemed to another VM to have ended at a moment: all
+// connections to it that were looked at ended, or its port was closed.
+type Ended struct{ At time.Time }
+
 func (Leaving) isSignal() {}
+func (Ended) isSignal()   {}
 func (Rest) isSignal()    {}
 
 // signals are what one life of a worker has said of itself.
@@ -79,6 +88,10 @@
 		if first || s.Until.Before(l.signals.leaving.Until) {
 			l.signals.leaving = s
 		}
+	case Ended:
+		if first = s.At.After(l.lastEnd().Add(sameEnd)); first {
+			l.ended = s.At
+		}
 	case Rest:
 		first = l.signals.hearRest(min(s.For, maxRest), l.now())
 	}
--- a/state/worker/standing.go
+++ b/state/worker/standing.go
@@ -75,24 +75,44 @@
 	return stored, w.Leaving
 }
 
-// maxLeaving bounds the workers that VMs tell each other to be leaving: 8 KB.
-const maxLeaving = 256
+// maxTold bounds the workers of which VMs tell each other signals: 8 KB.
+const maxTold = 256
 
-// LeavingByWord returns, by life, the workers of which it is known by their own or other
-// VMs' word that they leave.
-func (l *Loads) LeavingByWord() map[string]Leaving {
-	var leaving map[string]Leaving
+// endedTold is for how long VMs tell each other that a worker seemed to have ended: longer
+// than news of it takes, at most two questions of each region, and as short as it matters.
+const endedTold = 3 * time.Second
+
+// Told are the signals of one worker that VMs tell each other; the zero value of a field is
+// none.
+type Told struct {
+	// Leaving says that it leaves, by its own or another VM's word.
+	Leaving Leaving
+	// Ended is when its process seemed to have ended.
+	Ended time.Time
+}
+
+// Told returns, by life, the signals that VMs tell each other.
+func (l *Loads) Told() map[string]Told {
+	var told map[string]Told
 	for life, load := range l.Limited() {
-		load.mu.Lock()
-		said, leaves := load.signals.leaving, load.signals.leaves()
-		load.mu.Unlock()
-		if !leaves || len(leaving) >= maxLeaving {
+		t, any := load.tell()
+		if !any || len(told) >= maxTold {
 			continue
 		}
-		if leaving == nil {
-			leaving = make(map[string]Leaving)
+		if told == nil {
+			told = make(map[string]Told)
 		}
-		leaving[life] = said
+		told[life] = t
+	}
+	return told
+}
+
+func (l *Load) tell() (t Told, any bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.Leaving = l.signals.leaving
+	if last := l.lastEnd(); l.now().Sub(last) < endedTold {
+		t.Ended = last
 	}
-	return leaving
+	return t, l.signals.leaves() || !t.Ended.IsZero()
 }
