worker: a test that fails while coldness counts from an end

Two cases of TestPortThatWasClosed held that for right (cold for 8 s from the end on): they stated what the code did, not what is true of a worker that is down for a while first. They are replaced by four that say when it answers again, and are as strict. Committed failing.

--- a/state/worker/life_test.go
+++ b/state/worker/life_test.go
@@ -31,20 +31,24 @@
 // A worker whose port was closed may have started again, with an entry that is still
 // the one of before: it is taken as cold until there is time for news of it.
 func TestPortThatWasClosed(t *testing.T) {
-	const coldStart = 8 * time.Second
+	const coldStart, played = 8 * time.Second, 12 * time.Second
 	cases := map[string]struct {
 		happens func(l *worker.Load)
 		// news is whether the store goes on to confirm what is known of workers.
 		news bool
 		// cold is for how long the worker is taken as cold, and from is when that begins.
 		from, cold time.Duration
+		// answers is when a VM first has an answer again, 0 if none has.
+		answers time.Duration
 	}{
-		"closed":                         {(*worker.Load).Refused, true, 0, 3 * time.Second},
-		"closed, the store silent":       {(*worker.Load).Refused, false, 0, coldStart},
-		"connections ended":              {(*worker.Load).Ended, true, 0, 0},
-		"connections ended, no store":    {(*worker.Load).Ended, false, 2500 * time.Millisecond, coldStart - 2500*time.Millisecond},
-		"nothing, though without store":  {func(*worker.Load) {}, false, 0, 0},
-		"closed, then connections ended": {func(l *worker.Load) { l.Refused(); l.Ended() }, true, 0, 3 * time.Second},
+		"closed":                         {(*worker.Load).Refused, true, 0, 3 * time.Second, 0},
+		"closed, the store silent":       {(*worker.Load).Refused, false, 0, played, 0},
+		"the same, back after 2 s":       {(*worker.Load).Refused, false, 0, coldStart + 2*time.Second, 2 * time.Second},
+		"connections ended":              {(*worker.Load).Ended, true, 0, 0, 0},
+		"connections ended, no store":    {(*worker.Load).Ended, false, 2500 * time.Millisecond, played, 0},
+		"the same, back after 1 s":       {(*worker.Load).Ended, false, 2500 * time.Millisecond, coldStart - 1500*time.Millisecond, time.Second},
+		"nothing, though without store":  {func(*worker.Load) {}, false, 0, 0, 0},
+		"closed, then connections ended": {func(l *worker.Load) { l.Refused(); l.Ended() }, true, 0, 3 * time.Second, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +58,10 @@
 			l, begun := loads.Of("w"), clock.Now()
 			l.Failed()
 			c.happens(l)
-			for at := time.Duration(0); at < 12*time.Second; at += step {
+			for at := time.Duration(0); at < played; at += step {
+				if c.answers > 0 && at >= c.answers {
+					l.Answered()
+				}
 				loads.Keep(func(string) bool { return true })
 				confirmed := begun
 				if c.news {
