worker: coldness counts from the first answer after an end

Cause: while the store is silent a worker that seemed to have ended was taken as cold for coldStart from its end on, but it is down for a while first; VMs took it as warm while it was cold. Change: it is cold until coldStart after the first answer that any VM had since, which VMs tell each other with the end.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -42,8 +42,11 @@
 		if leaving := signals.Leaving; !leaving.Until.IsZero() && !w.Leaving {
 			message.LeavingMillis = millis(max(leaving.Until.Sub(now), 0))
 		}
-		if silent && !signals.Ended.IsZero() {
-			message.EndedMillis = millis(now.Sub(signals.Ended))
+		if ended := signals.Ended; silent && !ended.At.IsZero() {
+			message.EndedMillis = millis(now.Sub(ended.At))
+			if !ended.Returned.IsZero() {
+				message.ReturnedMillis = millis(now.Sub(ended.Returned))
+			}
 		}
 		if message.LeavingMillis != nil || message.EndedMillis != nil {
 			told[life] = &message
@@ -57,6 +60,11 @@
 	return &ms
 }
 
+// before returns the moment so many milliseconds before another.
+func before(now time.Time, millis uint32) time.Time {
+	return now.Add(-time.Duration(millis) * time.Millisecond)
+}
+
 // hearSignals takes in what workers have told or shown another VM.
 func (g *Gateway) hearSignals(from string, told map[string]*peerpb.WorkerSignals) {
 	s := g.snapshot.Load()
@@ -77,7 +85,11 @@
 			}
 		}
 		if message.EndedMillis != nil {
-			g.loads.Of(life).Hear(worker.Ended{At: now.Add(-time.Duration(message.GetEndedMillis()) * time.Millisecond)})
+			ended := worker.Ended{At: before(now, message.GetEndedMillis())}
+			if message.ReturnedMillis != nil {
+				ended.Returned = before(now, message.GetReturnedMillis())
+			}
+			g.loads.Of(life).Hear(ended)
 		}
 	}
 }
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -118,6 +118,7 @@
 	sparedTo time.Time
 	refused  time.Time // when its port was last found closed
 	ended    time.Time // when its process last seemed to have ended
+	returned time.Time // when a VM first had an answer after that
 	signals  signals
 }
 
@@ -182,6 +183,9 @@
 	l.failures = 0
 	l.pausedTo = time.Time{}
 	l.signals.answered(l.now())
+	if last := l.lastEnd(); !last.IsZero() && l.returned.Before(last) {
+		l.returned = l.now()
+	}
 }
 
 const (
@@ -218,7 +222,8 @@
 // MayBeCold reports whether the worker may be a process that has just started, though
 // its entry is that of the one before. Confirmed is when the store last confirmed what is
 // known of workers, coldStart for how long one is cold after its start. While the store is
-// silent nothing tells of a start but what the worker's port does.
+// silent nothing tells of a start but what the worker's port does. It is down for a while
+// first: a start counts from the first answer after the end, at any VM.
 func (l *Load) MayBeCold(confirmed time.Time, coldStart time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -226,11 +231,17 @@
 	if !l.refused.IsZero() && now.Sub(l.refused) < mayBeCold {
 		return true
 	}
-	last := l.lastEnd()
-	if last.IsZero() || now.Sub(last) >= min(max(coldStart, mayBeCold), maxColdStart) {
+	started := l.lastEnd()
+	if started.IsZero() || now.Sub(started) >= maxColdStart {
 		return false
 	}
-	return confirmed.Before(last.Add(newsOfStart)) && now.Sub(confirmed) > storeSilent
+	if l.returned.After(started) {
+		started = l.returned
+		if now.Sub(started) >= max(coldStart, mayBeCold) {
+			return false
+		}
+	}
+	return confirmed.Before(started.Add(newsOfStart)) && now.Sub(confirmed) > storeSilent
 }
 
 // lastEnd returns when the worker's process last seemed to have ended.
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -53,7 +53,11 @@
 
 // Ended says that the worker's process seemed to another VM to have ended at a moment: all
 // connections to it that were looked at ended, or its port was closed.
-type Ended struct{ At time.Time }
+type Ended struct {
+	At time.Time
+	// Returned is when a VM first had an answer after that, zero if none had.
+	Returned time.Time
+}
 
 func (Leaving) isSignal() {}
 func (Ended) isSignal()   {}
@@ -89,9 +93,7 @@
 			l.signals.leaving = s
 		}
 	case Ended:
-		if first = s.At.After(l.lastEnd().Add(sameEnd)); first {
-			l.ended = s.At
-		}
+		first = l.hearEnd(s)
 	case Rest:
 		first = l.signals.hearRest(min(s.For, maxRest), l.now())
 	}
@@ -99,6 +101,19 @@
 	return first
 }
 
+// hearEnd takes in an end that another VM has seen: the last end, and the first answer after
+// it.
+func (l *Load) hearEnd(e Ended) (first bool) {
+	if first = e.At.After(l.lastEnd().Add(sameEnd)); first {
+		l.ended = e.At
+	}
+	unknown := l.returned.Before(l.lastEnd())
+	if e.Returned.After(l.lastEnd()) && (unknown || e.Returned.Before(l.returned)) {
+		l.returned = e.Returned
+	}
+	return first
+}
+
 func (s *signals) hearRest(rest time.Duration, now time.Time) (first bool) {
 	first = !now.Before(s.restEnd)
 	if end := now.Add(rest); end.After(s.restEnd) {
--- a/state/worker/standing.go
+++ b/state/worker/standing.go
@@ -78,17 +78,13 @@
 // maxTold bounds the workers of which VMs tell each other signals: 8 KB.
 const maxTold = 256
 
-// endedTold is for how long VMs tell each other that a worker seemed to have ended: longer
-// than news of it takes, at most two questions of each region, and as short as it matters.
-const endedTold = 3 * time.Second
-
 // Told are the signals of one worker that VMs tell each other; the zero value of a field is
 // none.
 type Told struct {
 	// Leaving says that it leaves, by its own or another VM's word.
 	Leaving Leaving
-	// Ended is when its process seemed to have ended.
-	Ended time.Time
+	// Ended says when its process seemed to have ended.
+	Ended Ended
 }
 
 // Told returns, by life, the signals that VMs tell each other.
@@ -111,8 +107,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t.Leaving = l.signals.leaving
-	if last := l.lastEnd(); l.now().Sub(last) < endedTold {
-		t.Ended = last
+	if last := l.lastEnd(); l.now().Sub(last) < maxColdStart {
+		t.Ended.At = last
+		if l.returned.After(last) {
+			t.Ended.Returned = l.returned
+		}
 	}
-	return t, l.signals.leaves() || !t.Ended.IsZero()
+	return t, l.signals.leaves() || !t.Ended.At.IsZero()
 }
