--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -89,6 +89,7 @@
 			}
 		}
 		g.tellCopies()
+		g.tellHeldBack()
 		sleep(ctx, knowledgeInterval)
 	}
 }
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -44,7 +44,8 @@
 		s.Halls = append(s.Halls, h)
 	}
 	slices.SortFunc(s.Halls, func(a, b load.HallStatus) int { return strings.Compare(a.Hall, b.Hall) })
-	s.Unused = g.unused.shown()
+	held := g.heldBack()
+	s.Unused, s.HeldBack = g.unused.shown(), held[:min(len(held), maxHeldBack)]
 	t := g.traffic()
 	s.Moves, s.Caps, s.Leaving = t.Moves, t.Caps, t.Leaving
 	return s
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -4,11 +4,14 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/operator"
 )
 
 const (
@@ -40,7 +43,8 @@
 		}
 		var message peerpb.WorkerSignals
 		if leaving := signals.Leaving; !leaving.Until.IsZero() && !w.Leaving {
-			message.LeavingMillis = millis(max(leaving.Until.Sub(now), 0))
+			// Never less than it is, so that a word which comes back binds no earlier.
+			message.LeavingMillis = millis(max(leaving.Until.Sub(now)+time.Millisecond, 0))
 		}
 		if ended := signals.Ended; silent && !ended.At.IsZero() {
 			message.EndedMillis = millis(now.Sub(ended.At))
@@ -94,6 +98,49 @@
 	}
 }
 
+// States of workers that are held back.
+const (
+	stateLeaving = "leaving"
+	stateResting = "resting"
+)
+
+// maxHeldBack bounds the workers that operators are shown as held back.
+const maxHeldBack = 100
+
+// heldBack returns workers that leave or rest, for operators, in the order of their ids.
+func (g *Gateway) heldBack() []operator.HeldBackWorker {
+	s := g.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	now := clock.Now()
+	var shown []operator.HeldBackWorker
+	for _, w := range s.Workers.All() {
+		h := operator.HeldBackWorker{Worker: w.ID, Service: w.Service, Hall: w.Hall}
+		if leaving, leaves := g.loads.Leaving(w); leaves {
+			h.State, h.From, h.LeftMillis = stateLeaving, leaving.From, max(leaving.Until.Sub(now), 0).Milliseconds()
+		} else if resting, rests := g.loads.Standing(w, now).(worker.Resting); rests {
+			h.State, h.From, h.LeftMillis = stateResting, worker.FromAnswer, max(resting.Until.Sub(now), 0).Milliseconds()
+		} else {
+			continue
+		}
+		shown = append(shown, h)
+	}
+	slices.SortFunc(shown, func(a, b operator.HeldBackWorker) int { return strings.Compare(a.Worker, b.Worker) })
+	return shown
+}
+
+// tellHeldBack counts the workers that leave or rest for the metrics.
+func (g *Gateway) tellHeldBack() {
+	counts := make(map[string]int)
+	for _, h := range g.heldBack() {
+		counts[h.State]++
+	}
+	for _, state := range []string{stateLeaving, stateResting} {
+		g.cfg.Metrics.HeldBack(state, counts[state])
+	}
+}
+
 // leaveWithin is for how long after its word a worker that leaves may get requests. The
 // margin is that of the store's word: a worker that is to end soon after it has spoken
 // would else end under the last of them.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -46,6 +46,7 @@
 	hungUp    *prometheus.CounterVec
 	rests     *prometheus.CounterVec
 	leaving   *prometheus.CounterVec
+	heldBack  *prometheus.GaugeVec
 	held      prometheus.Gauge
 	unused    *prometheus.CounterVec
 }
@@ -77,6 +78,7 @@
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
 		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
+		heldBack:  gauge(r, "upstreams_held_back", "Upstreams that get nothing for now, or soon, for what they have said of themselves, by state.", "state"),
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
 		leaving:   counter(r, "upstream_leaving_total", "Upstreams that said in an answer to this VM that they leave, by service.", "service"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
@@ -192,6 +194,9 @@
 // AskedForRest counts a refusal by an upstream that wants nothing from this VM for a time.
 func (s *Set) AskedForRest(service string) { s.rests.WithLabelValues(service).Inc() }
 
+// HeldBack sets how many upstreams leave or rest.
+func (s *Set) HeldBack(state string, n int) { s.heldBack.WithLabelValues(state).Set(float64(n)) }
+
 // SaidLeaving counts an upstream that said for the first time that it leaves.
 func (s *Set) SaidLeaving(service string) { s.leaving.WithLabelValues(service).Inc() }
 
--- a/internal/program/print.go
+++ b/internal/program/print.go
@@ -94,6 +94,9 @@
 	for _, e := range s.Unused {
 		printf(table, "not used: %s\t%s\t%s\t\t\t\n", e.Kind, e.Name, e.Reason)
 	}
+	for _, h := range s.HeldBack {
+		printf(table, "%s: %s\t%s\t%s\tby %s\t%d ms\t\n", h.State, h.Worker, h.Service, h.Hall, h.From, h.LeftMillis)
+	}
 	for _, m := range s.Members {
 		printf(table, "VM %s\t%s\t%s\t\t\t\n", m.VM, m.Hall, m.State)
 	}
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -39,6 +39,22 @@
 	Leaving    []string          `json:"leaving"`
 	// Unused are some of the store's entries that the VM cannot use.
 	Unused []UnusedEntry `json:"unused,omitempty"`
+	// HeldBack are some of the workers that get nothing for now, or soon, for what they
+	// have said of themselves.
+	HeldBack []HeldBackWorker `json:"held_back,omitempty"`
+}
+
+// HeldBackWorker is a worker that leaves or rests.
+type HeldBackWorker struct {
+	Worker  string `json:"worker"`
+	Service string `json:"service"`
+	Hall    string `json:"hall"`
+	// State is leaving or resting, From who has said so: its answer, the store or a VM.
+	State string `json:"state"`
+	From  string `json:"from"`
+	// LeftMillis is how long it may get requests still if it leaves, and for how long it
+	// gets none if it rests.
+	LeftMillis int64 `json:"left_ms"`
 }
 
 // UnusedEntry is an entry of the store that is not used, and why.
