--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -44,7 +44,7 @@
 		q.note("signal", w.ID+" says that it leaves")
 		if first {
 			metrics.SaidLeaving(w.Service)
-			q.logSignal("workers: one says that it leaves", w, "leaving_in_store", w.Leaving, "until_ms", s.Until.Sub(s.Heard).Milliseconds())
+			q.logSignal("workers: one says that it leaves", w, "leaving_in_store", w.Leaving, "gets_requests_for_ms", s.Until.Sub(s.Heard).Milliseconds())
 		}
 	case worker.Rest:
 		q.note("signal", fmt.Sprintf("%s asks for %s of rest", w.ID, s.For.Round(time.Millisecond)))
