--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -52,11 +52,11 @@
 off write-known-again internal/gateway/traffic.go 'case err == nil && by == operation && at > 0:' 'case false && by == operation:' ./internal/gateway TestLostAnswerToAStop
 off lapse-grace internal/gateway/lapse.go 'if !now.Before(graceEnd) {' 'if true {' ./internal/gateway TestEntriesThatLapse
 off outliers-together internal/gateway/outliers.go 'if len(told) == 0 || len(told) > maxOutcomes {' 'if true {' ./internal/gateway TestVMsSpareAFailingWorkerTogether
-off most-spared coordination/placement/placement.go 'if float64(len(spared)) > mostSpared' 'if false && float64(len(spared)) > mostSpared' ./coordination/placement TestSparedWorkers
+off most-spared coordination/placement/eligible.go 'if float64(len(spared)) > mostSpared' 'if false && float64(len(spared)) > mostSpared' ./coordination/placement TestSparedWorkers
 off time-over-is-no-failure transport/ingress/try.go 'return errors.Is(err, context.DeadlineExceeded) ||' 'return false && errors.Is(err, context.DeadlineExceeded) &&' ./transport/ingress TestOutcomesOfWorkers
 off soak-once coordination/retry/retry.go 'case !t.NotRun && !t.Repeatable:' 'case false:' ./platform 'TestSoak$'
-off soak-drain coordination/placement/handover.go 'w.Leaving && !w.Ending.Open(now) ||' '' ./platform 'TestSoak$'
-off soak-closed coordination/placement/handover.go '|| s.Closed[w.Hall] && !s.Closing[w.Hall].Open(now)' '' ./platform 'TestSoak$'
+off soak-drain state/worker/standing.go 'ok && !leaving.Open(now) {' 'ok && false && !leaving.Open(now) {' ./platform 'TestSoak$'
+off soak-closed coordination/placement/handover.go 'closed && !closing.Open(now) {' 'closed && false && !closing.Open(now) {' ./platform 'TestSoak$'
 off soak-stop internal/gateway/stop.go 'if err := g.front.Shutdown(ctx); err != nil {' 'if err := g.front.Close(); err != nil {' ./platform 'TestSoak$'
 off holders-stay coordination/balance/balance.go 'if ok && held.worker.Region == l.worker.Region {' 'if ok {' ./coordination/balance TestKeysStayInTheirRegion
 off holders-table coordination/placement/placement.go 'if !r.Keyed {
@@ -167,5 +167,17 @@
 off entries-one-by-one platform/store.go 'if json.Unmarshal(item, &o) == nil && o.Metadata.Name != "" {' 'if err := json.Unmarshal(item, &o); err != nil {
 			return err
 		} else {' ./platform TestNeighboursOfFaulty
+off leaving-heard transport/ingress/signals.go 'if cfg.Dialect.Leaving(header) {' 'if false && cfg.Dialect.Leaving(header) {' ./internal/gateway TestWorkerThatSaysItLeaves
+off rests-heard transport/ingress/signals.go 'cfg.Dialect.Rest(status, header); asked {' 'cfg.Dialect.Rest(status, header); asked && false {' ./internal/gateway TestWorkersThatAskForRest
+off own-words-only transport/ingress/try.go 'if failed.Kind() != upstream.KindOther {' 'if true {' ./transport/ingress TestSignalsAreHeard
+off leaving-told-on internal/gateway/signals.go 'if leaving := signals.Leaving; !leaving' 'if leaving := signals.Leaving; false && !leaving' ./internal/gateway TestVMsTellEachOtherWhoLeaves
+off ended-told internal/gateway/signals.go 'signals.Ended; silent &&' 'signals.Ended; false && silent &&' ./internal/gateway TestVMsTellEachOtherWhoHasEnded
+off word-outlives-entry state/worker/signal.go 'now.Sub(s.leaving.Heard) < leavingKept)' 'false)' ./state/worker TestWordOutlives
+off earliest-word-binds state/worker/signal.go 'first || s.Until.Before(l.signals.leaving.Until)' 'true' ./state/worker TestEarliestWord
+off rest-to-its-end state/worker/signal.go 'end.After(s.restEnd) {' 'true || end.After(s.restEnd) {' ./state/worker TestEachRest
+off return-ramp state/worker/signal.go 's.allowance = 1' 's.allowance = 0' ./state/worker TestReturnAfterARest
+off cold-from-return state/worker/loads.go 'if l.returned.After(started) {' 'if false {' ./state/worker TestPortThatWasClosed
+off rest-moves-few coordination/placement/placement.go 'if r.displaced {' 'if false && r.displaced {' ./internal/experiment TestRestsKept
+off rest-keeps-regions coordination/placement/placement.go 'p.destination(s, r, workers.all())' 'p.destination(s, r, workers.awake)' ./coordination/placement TestRestMovesOnly
 off clock-sleeps internal/clock/clock.go 's.slept = slept' '' ./internal/clock TestSuspensionsCount
 exit $missed
