worker: an end that is seen late does not undo the one before it

Change: what is proved is a span, told as such, and a proof brings the end before it back. TestLateNoticeOfAnEnd fails on (warm 2 s after its start), passes now.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -48,9 +48,9 @@
 		}
 		if ended := signals.Ended; silent {
 			message.EndedMillis, message.ReturnedMillis = sinceMillis(now, ended.At), sinceMillis(now, ended.Returned)
-			message.LivedMillis = sinceMillis(now, ended.Lived)
+			message.LivedFromMillis, message.LivedToMillis = sinceMillis(now, ended.Lived.From), sinceMillis(now, ended.Lived.To)
 		}
-		if message.LeavingMillis != nil || message.EndedMillis != nil || message.LivedMillis != nil {
+		if message.LeavingMillis != nil || message.EndedMillis != nil || message.LivedToMillis != nil {
 			told[life] = &message
 		}
 	}
@@ -97,7 +97,10 @@
 				g.log.V(1).Info("workers: another VM tells that one leaves", "worker", w.ID, "peer", from, "for_ms", left.Milliseconds())
 			}
 		}
-		ended := worker.Ended{At: before(now, message.EndedMillis), Returned: before(now, message.ReturnedMillis), Lived: before(now, message.LivedMillis)}
+		ended := worker.Ended{
+			At: before(now, message.EndedMillis), Returned: before(now, message.ReturnedMillis),
+			Lived: worker.Span{From: before(now, message.LivedFromMillis), To: before(now, message.LivedToMillis)},
+		}
 		if ended != (worker.Ended{}) {
 			g.loads.Of(life).Hear(ended)
 		}
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -119,8 +119,9 @@
 	refused  time.Time // when its port was last found closed
 	ended    time.Time // when its process last seemed to have ended
 	returned time.Time // when a VM first had an answer after that
-	proved   proved
-	lived    time.Time // up to when the process is known not to have ended, if it seemed to
+	earlier  end       // the end before that, for the case that there was none
+	proved   Span
+	lived    Span // in which the process is known not to have ended, though it seemed to
 	signals  signals
 }
 
@@ -217,10 +218,21 @@
 func (l *Load) Ended() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended = l.now()
+	l.endAt(l.now())
 	l.limits.add(l)
 }
 
+// end is when a process seemed to have ended, and when a VM first had an answer after that.
+type end struct{ at, returned time.Time }
+
+// endAt takes in an end, which may prove to be none.
+func (l *Load) endAt(at time.Time) {
+	if l.earlier.at.IsZero() || at.Sub(l.earlier.at) >= maxColdStart {
+		l.earlier = end{l.ended, l.returned}
+	}
+	l.ended = at
+}
+
 // MayBeCold reports whether the worker may be a process that has just started, though
 // its entry is that of the one before. Confirmed is when the store last confirmed what is
 // known of workers, coldStart for how long one is cold after its start. While the store is
@@ -250,9 +262,14 @@
 // were under way come until then, over the longest ways between regions.
 const endSeen = 200 * time.Millisecond
 
-// proved is a time in which one process of the worker is known to have lived: from when a
+// Span is a time in which one process of a worker is known to have lived: from when a
 // connection was opened to when an answer came over it, or over others that overlap.
-type proved struct{ from, to time.Time }
+type Span struct{ From, To time.Time }
+
+// holds reports whether a moment is within the span, and not at its margins.
+func (s Span) holds(at time.Time) bool {
+	return s.From.Before(at.Add(-endSeen)) && s.To.After(at.Add(endSeen))
+}
 
 // Proved notes an answer over a connection that was opened at a moment. A connection does not
 // outlive the process at its other end, so an end in between was none: only other
@@ -261,27 +278,22 @@
 func (l *Load) Proved(opened time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if opened.After(l.proved.to) || opened.Before(l.proved.from) {
-		l.proved.from = opened
+	if opened.After(l.proved.To) || opened.Before(l.proved.From) {
+		l.proved.From = opened
 	}
-	l.proved.to = l.now()
-	l.acquit()
+	l.proved.To = l.now()
+	l.acquit(l.proved)
 }
 
-// acquit forgets an end that the process has outlived.
-func (l *Load) acquit() {
-	if l.ended.IsZero() || !l.proved.from.Before(l.ended.Add(-endSeen)) || !l.proved.to.After(l.ended.Add(endSeen)) {
+// acquit forgets an end that the process has outlived. The one before it may have been
+// one: what is seen late of that seems to be another.
+func (l *Load) acquit(s Span) {
+	if l.ended.IsZero() || !s.holds(l.ended) {
 		return
 	}
-	l.live(l.proved.to)
-}
-
-// live takes in that the process has not ended up to a moment.
-func (l *Load) live(until time.Time) {
-	if until.After(l.lived) {
-		l.lived = until
-	}
-	if !l.ended.IsZero() && !l.ended.After(l.lived) {
+	l.lived = s
+	l.ended, l.returned, l.earlier = l.earlier.at, l.earlier.returned, end{}
+	if s.holds(l.ended) {
 		l.ended, l.returned = time.Time{}, time.Time{}
 	}
 }
--- a/state/worker/outlived_test.go
+++ b/state/worker/outlived_test.go
@@ -57,3 +57,32 @@
 		})
 	}
 }
+
+// A VM that finds late that its connections to the process before are closed takes that for an
+// end of the one that has begun since. That one lives; the end before it was one all the same,
+// and the worker is cold.
+func TestLateNoticeOfAnEnd(t *testing.T) {
+	const coldStart = 5 * time.Second
+	clock := clockwork.NewFakeClock()
+	clock.Advance(time.Minute)
+	loads, peers, confirmed := worker.NewLoads(clock.Now), worker.NewLoads(clock.Now), clock.Now().Add(-10*time.Second)
+	l, peer := loads.Of("w"), peers.Of("w")
+	l.Ended()
+	peer.Hear(worker.Ended{At: clock.Now()})
+	clock.Advance(500 * time.Millisecond)
+	opened := clock.Now()
+	l.Answered()
+	l.Proved(opened)
+	clock.Advance(time.Second)
+	l.Ended() // Of connections to the process before.
+	clock.Advance(time.Second)
+	l.Proved(opened)
+	peer.Hear(loads.Told()["w"].Ended)
+	if !l.MayBeCold(confirmed, coldStart) || !peer.MayBeCold(confirmed, coldStart) {
+		t.Error("taken as warm 2 s after its start")
+	}
+	clock.Advance(coldStart)
+	if l.MayBeCold(confirmed, coldStart) {
+		t.Error("taken as cold 7 s after its start")
+	}
+}
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -57,9 +57,9 @@
 	At time.Time
 	// Returned is when a VM first had an answer after that, zero if none had.
 	Returned time.Time
-	// Lived is up to when the process is known not to have ended though it had seemed to,
-	// zero if it is not.
-	Lived time.Time
+	// Lived is when the process is known not to have ended though it had seemed to, zero if
+	// there is no such time.
+	Lived Span
 }
 
 func (Leaving) isSignal() {}
@@ -107,10 +107,10 @@
 // hearEnd takes in an end that another VM has seen: the last end, and the first answer after
 // it; or that there was none.
 func (l *Load) hearEnd(e Ended) (first bool) {
-	l.live(e.Lived)
-	if first = e.At.After(l.lastEnd().Add(sameEnd)) && e.At.After(l.lived); first {
-		l.ended = e.At
-		l.acquit()
+	l.acquit(e.Lived)
+	if first = e.At.After(l.lastEnd().Add(sameEnd)) && !l.lived.holds(e.At); first {
+		l.endAt(e.At)
+		l.acquit(l.proved)
 	}
 	unknown := l.returned.Before(l.lastEnd())
 	if e.Returned.After(l.lastEnd()) && (unknown || e.Returned.Before(l.returned)) {
--- a/state/worker/standing.go
+++ b/state/worker/standing.go
@@ -130,7 +130,7 @@
 			t.Ended.Returned = l.returned
 		}
 	}
-	if l.now().Sub(l.lived) < maxColdStart {
+	if l.now().Sub(l.lived.To) < maxColdStart {
 		t.Ended.Lived = l.lived
 	}
 	return t, l.signals.leaves() || t.Ended != Ended{}
