rollout: orders for new versions, phases and what VMs report of them

Cause: nothing in the code knew of a new version of a service being brought in (issue: 'Roll-outs'); a worker's version was decoded and dropped. Ruled out: a kind of object of our own beside the operators' order; the store's status of the order has room for what must last. Change: types only. Measured: unit tests of versions, sums and the sketch (within a tenth up to 2,000 keys).

--- /dev/null
+++ b/state/rollout/rollout_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/state/rollout"
+)
+
+func TestVersionsAreComparedByNumber(t *testing.T) {
+	cases := map[string]struct {
+		text    string
+		version rollout.Version
+		bad     bool
+	}{
+		"with a letter":    {text: "v2", version: 2},
+		"above nine":       {text: "v10", version: 10},
+		"bare":             {text: "7", version: 7},
+		"no number":        {text: "vx", bad: true},
+		"empty":            {text: "", bad: true},
+		"zero":             {text: "v0", bad: true},
+		"negative":         {text: "v-1", bad: true},
+		"behind a number":  {text: "v2-rc", bad: true},
+		"too large a word": {text: "v99999999999999999999", bad: true},
+	}
+	for name, c := range cases {
+		Convey(name, t, func() {
+			version, err := rollout.ParseVersion(c.text)
+			So(err != nil, ShouldEqual, c.bad)
+			So(version, ShouldEqual, c.version)
+		})
+	}
+}
+
+func TestReportsAddUp(t *testing.T) {
+	Convey("Reports of two VMs are one of both", t, func() {
+		a, b := rollout.NewReport(), rollout.NewReport()
+		canary := rollout.Subject{Route: "r", Worker: "w"}
+		a.VMs[rollout.PhaseTrial], b.VMs[rollout.PhaseShift] = 1, 1
+		a.New[canary], b.New[canary] = rollout.Tally{Ended: 2, Failed: 1}, rollout.Tally{Ended: 3, Slow: 1}
+		a.Old["r"], a.UnderWayOld, b.UnderWayOld = rollout.Tally{Ended: 7}, 2, 3
+		a.Join(b)
+		So(a.New[canary], ShouldResemble, rollout.Tally{Ended: 5, Failed: 1, Slow: 1})
+		So(a.Sum()["r"].Ended, ShouldEqual, 5)
+		So(a.UnderWayOld, ShouldEqual, 5)
+		So(a.InPhase(rollout.PhaseTrial), ShouldEqual, 2)
+		So(a.InPhase(rollout.PhaseShift), ShouldEqual, 1)
+		So(a.Furthest(), ShouldEqual, rollout.PhaseShift)
+	})
+	Convey("What VMs that have gone had counted is no news", t, func() {
+		So(rollout.Tally{Ended: 3}.Since(rollout.Tally{Ended: 5, Failed: 2}), ShouldResemble, rollout.Tally{})
+		So(rollout.Tally{Ended: 6, Failed: 4}.Since(rollout.Tally{Ended: 5, Failed: 1}), ShouldResemble, rollout.Tally{Ended: 1, Failed: 1})
+	})
+}
+
+func TestSketchCountsKeysOnce(t *testing.T) {
+	for _, keys := range []int{0, 1, 50, 500, 2000} {
+		Convey(fmt.Sprintf("%d keys at two VMs are counted within a tenth", keys), t, func() {
+			var a, b rollout.Sketch
+			for i := range keys {
+				hash := xxhash.Sum64String(fmt.Sprint(i))
+				a.Add(hash)
+				if i%2 == 0 {
+					b.Add(hash)
+				}
+			}
+			a.Join(rollout.SketchOf(b.Bytes()))
+			So(a.Count(), ShouldAlmostEqual, float64(keys), 1+0.1*float64(keys))
+		})
+	}
+	Convey("Bytes of another length are no keys", t, func() {
+		So(rollout.SketchOf([]byte{1, 2}).Count(), ShouldEqual, 0)
+	})
+}
