worker, placement: workers of a version that is being brought in have tracks of their own

Cause: Set.Service gave all workers of a service, whatever their version. Change: a worker has a version; those marked as new are left out of Service and are had by Track: a few canaries of each region, or all. The table of holders does not move keys to them. With no old worker left the new ones serve.

--- a/coordination/placement/eligible.go
+++ b/coordination/placement/eligible.go
@@ -75,7 +75,7 @@
 // spared, unless these are too many. Those that rest or have left get nothing whatever
 // happens.
 func (p *Placer) eligible(s *Snapshot, r Request) eligible {
-	all := s.Workers.Service(r.Service)
+	all := s.Workers.Track(r.Service, r.Track)
 	e := eligible{awake: make([]*worker.Worker, 0, len(all)), now: p.cfg.Now()}
 	var paused, spared []*worker.Worker
 	standings := p.cfg.Loads.Standings()
--- a/coordination/placement/fleet.go
+++ b/coordination/placement/fleet.go
@@ -16,7 +16,7 @@
 	fleet := balance.Fleet{Workers: make(map[string][]balance.Worker)}
 	holding, now := make(map[string][]*worker.Worker), p.cfg.Now()
 	for _, w := range s.Workers.All() {
-		if _, leaves := p.leaving(s, w); leaves || s.drained(w.Service, w.Hall) {
+		if _, leaves := p.leaving(s, w); leaves || w.New || s.drained(w.Service, w.Hall) {
 			continue
 		}
 		_, ready := p.cfg.Loads.Standing(w, now).(worker.Ready)
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -107,6 +107,9 @@
 	Allows func(region string) bool
 	// Tried are the ids of workers that the request was sent to before.
 	Tried []string
+	// Track says which versions of the service may get it. The zero value is the one in
+	// use.
+	Track worker.Track
 
 	// displaced is set if the worker that holds the key rests.
 	displaced bool
--- /dev/null
+++ b/state/worker/track_test.go
@@ -0,0 +1,40 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package worker_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+func TestTracks(t *testing.T) {
+	Convey("With 60 old workers and 60 new ones in two regions", t, func() {
+		var all []worker.Worker
+		for i := range 120 {
+			all = append(all, worker.Worker{
+				ID: fmt.Sprintf("w%03d", i), Service: "s", Region: []string{"north", "south"}[i%2], New: i >= 60,
+			})
+		}
+		set := worker.NewSet(all)
+		Convey("each track has its own, and the set knows all by their ids", func() {
+			So(set.Service("s"), ShouldHaveLength, 60)
+			So(set.Track("s", worker.TrackStable), ShouldResemble, set.Service("s"))
+			So(set.Track("s", worker.TrackNew), ShouldHaveLength, 60)
+			So(set.Len(), ShouldEqual, 120)
+		})
+		Convey("a new version is tried out in each region, by the same workers everywhere", func() {
+			canaries := set.Track("s", worker.TrackCanary)
+			So(canaries, ShouldHaveLength, 2)
+			So(canaries[0].Region, ShouldNotEqual, canaries[1].Region)
+			So(worker.NewSet(all[60:]).Track("s", worker.TrackCanary)[0].ID, ShouldEqual, canaries[0].ID)
+		})
+		Convey("where no old worker is left, the new ones serve", func() {
+			So(worker.NewSet(all[60:]).Track("s", worker.TrackStable), ShouldHaveLength, 60)
+		})
+	})
+}
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/ryehill/ryehill/state/rollout"
 )
 
 // Worker is one start of one worker. A new start has a new id.
@@ -46,6 +48,10 @@
 	ColdUntil time.Time
 	// Revision is that of the store's entry.
 	Revision uint64
+	// Version is that of its software, 0 if it is unknown.
+	Version rollout.Version
+	// New is set while its version is being brought in; see Track.
+	New bool
 
 	hash uint64
 	life string
@@ -91,7 +97,9 @@
 // be changed.
 type Set struct {
 	services map[string][]*Worker
-	byID     map[string]*Worker
+	// cohorts holds those of versions that are being brought in.
+	cohorts map[string]cohort
+	byID    map[string]*Worker
 	// byLife holds those that say when they started.
 	byLife map[string]*Worker
 }
@@ -110,8 +118,13 @@
 // from then on.
 func SetOf(workers []*Worker) *Set {
 	s := &Set{services: make(map[string][]*Worker), byID: make(map[string]*Worker, len(workers)), byLife: make(map[string]*Worker)}
+	brought := make(map[string][]*Worker)
 	for _, w := range workers {
-		s.services[w.Service] = append(s.services[w.Service], w)
+		if w.New {
+			brought[w.Service] = append(brought[w.Service], w)
+		} else {
+			s.services[w.Service] = append(s.services[w.Service], w)
+		}
 		s.byID[w.ID] = w
 		if w.Start > 0 {
 			s.byLife[w.Life()] = w
@@ -123,11 +136,12 @@
 			slices.SortFunc(list, byID)
 		}
 	}
+	s.cohorts = cohortsOf(brought)
 	return s
 }
 
-// Service returns the workers of a service in order of their ids. The slice and the
-// workers must not be changed.
+// Service returns the workers of a service in order of their ids, but for those of a
+// version that is being brought in. The slice and the workers must not be changed.
 func (s *Set) Service(name string) []*Worker { return s.services[name] }
 
 // Get returns a worker by its id.
