membership: what is asked of the table again and again is sorted once

Cause: each probe, each reply to one and each question for news sorted all VMs (fingers of the ring with two hashes a comparison, ids for old news, All for the choice of a teller), and each try copied and sorted them to count them: work of an idle VM that grows with the fleet. Change: sorted views are kept until a member changes; counts are counts. TestIdleTableDoesNotSort: as many allocations with 1,600 members as with 100.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -28,7 +28,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/ryehill/ryehill/state/spec"
 )
@@ -107,6 +106,7 @@
 	oldNews  string // the last id that was told again
 	lastTick time.Time
 	changed  chan struct{}
+	views    views
 }
 
 type record struct {
@@ -131,13 +131,6 @@
 // Changed returns a channel that receives after members have changed.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
-func (t *Table) signal() {
-	select {
-	case t.changed <- struct{}{}:
-	default:
-	}
-}
-
 // Self returns the record of the table's own VM.
 func (t *Table) Self() Member {
 	t.mu.Lock()
@@ -151,7 +144,7 @@
 	defer t.mu.Unlock()
 	t.self.State = StateLeaving
 	t.self.Incarnation++
-	t.signal()
+	t.memberChanged()
 }
 
 // SetList takes in a version of the platform's list; an older one is ignored.
@@ -183,7 +176,7 @@
 		r.VM.State = vm.State
 	}
 	t.dropUnlisted()
-	t.signal()
+	t.memberChanged()
 }
 
 func (t *Table) dropUnlisted() {
@@ -193,6 +186,7 @@
 	for id, r := range t.members {
 		if !t.listed[id] && (r.State == StateGone || r.Start == 0) {
 			delete(t.members, id)
+			t.memberChanged()
 		}
 	}
 }
@@ -211,7 +205,7 @@
 		changed = t.merge(m) || changed
 	}
 	if changed {
-		t.signal()
+		t.memberChanged()
 	}
 }
 
@@ -260,7 +254,7 @@
 	r.State = StateSuspect
 	r.since = t.cfg.Now()
 	r.sent = 0
-	t.signal()
+	t.memberChanged()
 }
 
 // Tick moves suspects on. It reports true if the process must have been frozen
@@ -279,7 +273,7 @@
 			r.State = StateGone
 			r.since = now
 			r.sent = 0
-			t.signal()
+			t.memberChanged()
 		}
 	}
 	if frozen {
@@ -295,12 +289,12 @@
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
 	var probes []Member
-	if fingers := t.fingers(); len(fingers) > 0 {
+	if fingers := t.view().fingers; len(fingers) > 0 {
 		t.next++
-		probes = append(probes, fingers[t.next%len(fingers)].Member)
+		probes = append(probes, t.members[fingers[t.next%len(fingers)]].Member)
 	}
 	for id, r := range t.members {
-		if t.probes(r) && r.State == StateGone && t.listed[id] && now.Sub(r.probed) >= RetryGone {
+		if t.probes(r.Member) && r.State == StateGone && t.listed[id] && now.Sub(r.probed) >= RetryGone {
 			r.probed = now
 			probes = append(probes, r.Member)
 			break
@@ -310,7 +304,7 @@
 }
 
 // probes reports whether this VM's ring holds a member.
-func (t *Table) probes(r *record) bool { return t.cfg.AcrossHalls || r.Hall == t.self.Hall }
+func (t *Table) probes(m Member) bool { return t.cfg.AcrossHalls || m.Hall == t.self.Hall }
 
 // Listed returns the VMs that the platform's list names, in no order.
 func (t *Table) Listed() []Member {
@@ -327,26 +321,6 @@
 	return listed
 }
 
-// fingers returns the members of the ring at distances 1, 2, 4, ... on the
-// ring. A leaving VM is no finger: it tells by itself when it has ended.
-func (t *Table) fingers() []*record {
-	ring := make([]*record, 0, len(t.members))
-	for _, r := range t.members {
-		if t.probes(r) && r.State <= StateSuspect {
-			ring = append(ring, r)
-		}
-	}
-	own := xxhash.Sum64String(t.self.ID)
-	slices.SortFunc(ring, func(a, b *record) int {
-		return cmp.Compare(xxhash.Sum64String(a.ID)-own, xxhash.Sum64String(b.ID)-own)
-	})
-	var fingers []*record
-	for distance := 1; distance <= len(ring); distance *= 2 {
-		fingers = append(fingers, ring[distance-1])
-	}
-	return fingers
-}
-
 // News returns what to tell a peer: the own record, then what changed last and
 // was not passed on often enough, then what this VM holds against the peer.
 func (t *Table) News(peer string) []Member {
@@ -374,20 +348,16 @@
 
 // addOldNews appends the next members in the order of their ids.
 func (t *Table) addOldNews(news []Member, peer string) []Member {
-	ids := make([]string, 0, len(t.members))
-	for id, r := range t.members {
-		if r.Start != 0 && id != peer {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
+	ids := t.view().ids
 	for range min(maxOldNews, len(ids)) {
 		i, found := slices.BinarySearch(ids, t.oldNews)
 		if found {
 			i++
 		}
 		t.oldNews = ids[i%len(ids)]
-		news = append(news, t.members[t.oldNews].Member)
+		if t.oldNews != peer {
+			news = append(news, t.members[t.oldNews].Member)
+		}
 	}
 	return news
 }
@@ -424,14 +394,24 @@
 	return members
 }
 
-// All returns every known VM but the own one, in order of their ids.
+// All returns every known VM but the own one, in order of their ids. The slice must not be
+// changed.
 func (t *Table) All() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	members := make([]Member, 0, len(t.members))
-	for _, r := range t.members {
-		members = append(members, r.Member)
-	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return members
+	return slices.Clip(t.view().all)
+}
+
+// Len returns how many VMs are known beside the own one.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members)
+}
+
+// ListedLen returns how many VMs the platform's list names.
+func (t *Table) ListedLen() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.listed)
 }
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -225,3 +225,26 @@
 		t.Fatal("the peer of the settings is not probed")
 	}
 }
+
+// An idle VM asks its table several times a second, whatever the size of the fleet. While
+// no member changes, that costs the same for 100 members as for 1,600.
+func TestIdleTableDoesNotSort(t *testing.T) {
+	idle := func(members int) float64 {
+		table := membership.New(membership.Config{Now: time.Now, AcrossHalls: true, Self: membership.Member{VM: spec.VM{ID: "self", Hall: "h"}, Start: 1}})
+		news := make([]membership.Member, 0, members)
+		for i := range members {
+			news = append(news, membership.Member{VM: spec.VM{ID: fmt.Sprint("vm", i), Hall: "h"}, Start: 1})
+		}
+		table.Heard(news)
+		table.All()
+		return testing.AllocsPerRun(100, func() {
+			if len(table.All()) != members {
+				t.Fatal("members are missing")
+			}
+			table.Probes()
+		})
+	}
+	if small, large := idle(100), idle(1600); large > small {
+		t.Errorf("%.0f allocations with 1,600 members, %.0f with 100", large, small)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -159,7 +159,7 @@
 		Placer: g.placer,
 		Demand: g.balancer.meter,
 		Meters: g.meters,
-		VMs:    func() int { return len(g.members.All()) + 1 },
+		VMs:    func() int { return g.members.Len() + 1 },
 		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g, Quarantine: g.quarantines, Now: clock.Now,
 		LeaveWithin: g.leaveWithin(),
 		Retry:       retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -73,7 +73,7 @@
 // not known, and 1 was with it.
 func (g *Gateway) listedVMs() int {
 	if _, known := g.replica.At(g.cfg.Codec.MemberKind()); known {
-		return len(g.members.Listed())
+		return g.members.ListedLen()
 	}
 	return int(g.quotas.toldVMs.Load())
 }
