gateway: workers that leave or rest are looked for among the few that may

Cause: twice a second each VM asked all workers (9,996 on the whole fleet) whether they leave or rest, for two gauges. Change: those that leave by the store's word are noted when a set of workers is made; the others are among those that this VM knows anything against.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/worker"
@@ -116,6 +117,21 @@
 // maxHeldBack bounds the workers that operators are shown as held back.
 const maxHeldBack = 100
 
+// mayBeHeldBack returns the workers that leave by the store's word, or that this VM knows
+// anything against: the few of all that may leave or rest.
+func (g *Gateway) mayBeHeldBack(s *placement.Snapshot) map[string]*worker.Worker {
+	workers := make(map[string]*worker.Worker)
+	for _, w := range s.Workers.Leaving() {
+		workers[w.ID] = w
+	}
+	for life := range g.loads.Limited() {
+		if w, ok := s.Workers.Life(life); ok {
+			workers[w.ID] = w
+		}
+	}
+	return workers
+}
+
 // heldBack returns workers that leave or rest, for operators, in the order of their ids.
 func (g *Gateway) heldBack() []operator.HeldBackWorker {
 	s := g.snapshot.Load()
@@ -124,7 +140,7 @@
 	}
 	now := clock.Now()
 	var shown []operator.HeldBackWorker
-	for _, w := range s.Workers.All() {
+	for _, w := range g.mayBeHeldBack(s) {
 		h := operator.HeldBackWorker{Worker: w.ID, Service: w.Service, Hall: w.Hall}
 		if leaving, leaves := g.loads.Leaving(w); leaves {
 			h.State, h.From, h.LeftMillis = stateLeaving, leaving.From, max(leaving.Until.Sub(now), 0).Milliseconds()
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -4,6 +4,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,3 +154,23 @@
 		}
 	}
 }
+
+// Twice a second each VM looks which workers leave or rest. That costs the same among 500
+// workers as among 8,000.
+func TestFewHeldBackAmongMany(t *testing.T) {
+	look := func(workers int) float64 {
+		list := make([]worker.Worker, workers)
+		for i := range list {
+			list[i] = worker.Worker{ID: fmt.Sprint("w", i), Service: "s", Leaving: i == 7}
+		}
+		find := gateway.HeldBack(list)
+		return testing.AllocsPerRun(20, func() {
+			if find() != 1 {
+				t.Fatal("the worker that leaves is not found")
+			}
+		})
+	}
+	if few, many := look(500), look(8000); many > few {
+		t.Errorf("%.0f allocations among 8,000 workers, %.0f among 500", many, few)
+	}
+}
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -100,6 +100,8 @@
 	// cohorts holds those of versions that are being brought in.
 	cohorts map[string]cohort
 	byID    map[string]*Worker
+	// leaving are those that leave by the store's word.
+	leaving []*Worker
 	// byLife holds those that say when they started.
 	byLife map[string]*Worker
 }
@@ -126,6 +128,9 @@
 			s.services[w.Service] = append(s.services[w.Service], w)
 		}
 		s.byID[w.ID] = w
+		if w.Leaving {
+			s.leaving = append(s.leaving, w)
+		}
 		if w.Start > 0 {
 			s.byLife[w.Life()] = w
 		}
@@ -165,6 +170,10 @@
 	return ok
 }
 
+// Leaving returns the workers that leave by the store's word, in no order. The slice and
+// the workers must not be changed.
+func (s *Set) Leaving() []*Worker { return s.leaving }
+
 // All returns all workers, in no order.
 func (s *Set) All() []*Worker { return slices.Collect(maps.Values(s.byID)) }
 
