--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -23,6 +23,8 @@
 
 // compiler holds what the last snapshot was made from. Only compileLoop uses it.
 type compiler struct {
+	// listed is the revision of the list of VMs that was taken in.
+	listed         uint64
 	configRevision uint64
 	// refusedRevision is that of the last configuration that could not be read.
 	refusedRevision uint64
@@ -45,15 +47,33 @@
 	}
 }
 
+const (
+	// compilePause is how many times as long as a snapshot took to make a VM waits until
+	// it makes the next one, and longestPause bounds that. While workers of a large fleet
+	// start or end one after the other, a small VM would else do nothing but take in each
+	// change; so it takes in those of a moment together.
+	compilePause        = 19
+	longestCompilePause = 500 * time.Millisecond
+)
+
 // compileLoop makes a new snapshot whenever the replica has changed.
 func (g *Gateway) compileLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := g.replica.Changed()
-		g.compile(clock.Now())
+		begun := clock.Now()
+		g.compile(begun)
+		if g.snapshot.Load() != nil {
+			sleep(ctx, pauseAfter(clock.Since(begun)))
+		}
 		g.awaitCompile(ctx, changed)
 	}
 }
 
+// pauseAfter returns how long to wait after a snapshot that took a time to make.
+func pauseAfter(took time.Duration) time.Duration {
+	return min(compilePause*took, longestCompilePause)
+}
+
 // awaitCompile waits for a change, or for the end of the time in which lapsed
 // entries are believed.
 func (g *Gateway) awaitCompile(ctx context.Context, changed <-chan struct{}) {
@@ -73,7 +93,7 @@
 func (g *Gateway) compile(now time.Time) {
 	c := &g.compiler
 	config := g.replica.Content(g.cfg.Codec.ConfigKind())
-	g.compileMembers()
+	g.compileMembers(c)
 	g.compileQuarantine()
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.At(g.cfg.Codec.WorkerKind())
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,11 +9,13 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/holders"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/rollout"
 	"github.com/ryehill/ryehill/state/worker"
 	"github.com/ryehill/ryehill/state/workspace"
 )
@@ -155,7 +157,7 @@
 	known.Full = true
 	g := &Gateway{
 		cfg: Config{Codec: codec, Log: logr.Discard(), Halls: map[string]string{"north-b": "north"}},
-		log: logr.Discard(), unused: newUnused(logr.Discard(), metrics.New()), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(),
+		log: logr.Discard(), unused: newUnused(logr.Discard(), metrics.New()), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(), rollouts: newRollouts(0),
 	}
 	g.replica.Merge(known)
 	return func(change object.Delta) *worker.Set {
@@ -187,3 +189,54 @@
 
 // HearListedVMs is hearListedVMs, for tests.
 func (g *Gateway) HearListedVMs(n uint32) { g.hearListedVMs(n) }
+
+// Controls reports whether this VM steps moves and roll-outs.
+func (g *Gateway) Controls() bool { return g.controls() }
+
+// Peers returns how many VMs this one takes to be live, itself included.
+func (g *Gateway) Peers() int { return len(g.live()) }
+
+// Divided returns how many workers of the version in use and of one that is being brought in
+// a VM uses that knows of one order, or of none if its version is 0.
+func Divided(workers []*worker.Worker, service string, version rollout.Version, phase rollout.Phase) (stable, brought int) {
+	orders := make(known)
+	if version > 0 {
+		orders[service] = knownOrder{version: version, phase: phase}
+	}
+	return counted(make(versions).divide(workers, orders))
+}
+
+func counted(used []*worker.Worker) (stable, brought int) {
+	for _, w := range used {
+		if w.New {
+			brought++
+		} else {
+			stable++
+		}
+	}
+	return stable, brought
+}
+
+// Versions is versions, for tests.
+type Versions struct{ versions }
+
+// NewVersions returns versions of which nothing is known.
+func NewVersions() Versions { return Versions{make(versions)} }
+
+// Stable returns how many workers of the version in use there are, without any order.
+func (v Versions) Stable(workers []*worker.Worker) int {
+	stable, _ := counted(v.divide(workers, nil))
+	return stable
+}
+
+// HeldBack returns a function that looks for workers that leave or rest among some of which
+// one leaves, and returns how many it found.
+func HeldBack(workers []worker.Worker) func() int {
+	g := &Gateway{loads: worker.NewLoads(clock.Now)}
+	set := worker.NewSet(workers)
+	g.snapshot.Store(&placement.Snapshot{Workers: set})
+	return func() int { return len(g.heldBack()) }
+}
+
+// PauseAfter is pauseAfter, for tests.
+var PauseAfter = pauseAfter
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -199,10 +199,15 @@
 	}
 }
 
-// compileMembers takes in the list of VMs.
-func (g *Gateway) compileMembers() {
+// compileMembers takes in the list of VMs, if it has changed: to read it takes as long as
+// all else that a change of one worker needs.
+func (g *Gateway) compileMembers(c *compiler) {
 	kind := g.cfg.Codec.MemberKind()
-	if at, known := g.replica.At(kind); known {
-		g.members.SetList(spec.VMList{Version: at, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
+	at, known := g.replica.At(kind)
+	content := g.replica.Content(kind)
+	if !known || content == c.listed {
+		return
 	}
+	c.listed = content
+	g.members.SetList(spec.VMList{Version: at, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
 }
