gateway: all VMs bring a new version in together, and show how far it is

Cause: no order for a new version was read, and every worker of a service was used whatever its version. Change: orders are watched by the VMs that watch anyway (a call each 5 s), told along the tree, and carried out by the first live VM in rounds of 0.3 s, one call a hall and one a VM there; workers of other versions than the one in use get nothing; the status is written on the condition that nobody else has. ryehill rollouts shows and stops them. A fleet without a share for unproved versions (setting rollout-share) reads no orders and no versions. Ruled out: deltas of evidence along the tree of questions (a lost one is lost, and acknowledgements need all VMs).

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -35,6 +35,8 @@
 	closed  map[string]bool
 	closing map[string]worker.Ending
 	warmAt  map[string]time.Time
+	// versions are those in use, by service.
+	versions versions
 	// traffic holds the operators' moves and caps, of a version.
 	traffic        *view.View
 	trafficVersion uint64
@@ -43,7 +45,7 @@
 func newCompiler() compiler {
 	return compiler{
 		workers: make(map[string]*worker.Worker), closed: make(map[string]bool),
-		closing: make(map[string]worker.Ending), warmAt: make(map[string]time.Time),
+		closing: make(map[string]worker.Ending), warmAt: make(map[string]time.Time), versions: make(versions),
 	}
 }
 
@@ -103,6 +105,7 @@
 	}
 	g.compileClosed(c, now)
 	g.compileTraffic(c)
+	g.compileRollouts(now)
 	s := &placement.Snapshot{
 		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed), Closing: maps.Clone(c.closing),
 		WarmAt: maps.Clone(c.warmAt), Regions: g.regions(), Traffic: c.traffic, Bound: c.bound,
@@ -226,6 +229,9 @@
 		list = append(list, w)
 	}
 	c.workers = next
+	if g.rollouts.enabled() {
+		list = c.versions.divide(list, g.rollouts.known())
+	}
 	return worker.SetOf(list)
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -18,6 +18,7 @@
 	"github.com/ryehill/ryehill/coordination/ratelimit"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/rollout"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/worker"
@@ -59,6 +60,9 @@
 	// that must not be there, and returns the new revision, or ErrConflict.
 	// After any other error it is not known whether it was, or will be, done.
 	Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error)
+	// ReplaceStatus does the same with an object's status, which is the fleet's to write
+	// where the object itself is the operators'.
+	ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error)
 	// Delete removes an object, if it is there.
 	Delete(ctx context.Context, kind, name string) error
 }
@@ -74,6 +78,11 @@
 	PlanKind() string
 	// QuarantineKind holds the requests that end workers.
 	QuarantineKind() string
+	// RolloutKind holds the orders for new versions of services.
+	RolloutKind() string
+	Rollout(o object.Object) (rollout.Order, error)
+	// EncodeRollout writes the status of an order.
+	EncodeRollout(o rollout.Order) ([]byte, error)
 	Routes(o object.Object) (route.Config, error)
 	// Worker returns a worker and for how long it is still cold.
 	Worker(o object.Object) (worker.Worker, time.Duration, error)
@@ -107,6 +116,10 @@
 	// what it knows.
 	RevokeWithin     time.Duration
 	StrictRevocation bool
+	// RolloutShare is the part of a service's requests that a new version may get while it
+	// is not proved, 0 to 1. 0 is a fleet that knows no orders for new versions: all
+	// workers of a service are the same to it.
+	RolloutShare float64
 	// Quota is what the limits of workspaces are held to.
 	Quota ratelimit.Bounds
 }
@@ -248,6 +261,9 @@
 	if b.RetryRatio < 0 || b.RetryRatio > 1 {
 		add("retry-ratio", "want 0 to 1")
 	}
+	if b.RolloutShare < 0 || b.RolloutShare > 1 {
+		add("rollout-share", "want 0 to 1")
+	}
 	if b.RevokeWithin < 0 {
 		add("revoke-within", "want a time above 0")
 	}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/rollout"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/worker"
@@ -34,6 +35,7 @@
 	kindPlans   = "plans"
 
 	kindQuarantine = "quarantine"
+	kindRollouts   = "rollouts"
 )
 
 // storePage is how many objects the fake store lists at a time.
@@ -191,6 +193,11 @@
 	return d.store.get(kind, name).Revision, nil
 }
 
+// ReplaceStatus writes the whole order: here it holds its own status.
+func (d *door) ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error) {
+	return d.Replace(ctx, kind, name, revision, status)
+}
+
 func (d *door) Delete(ctx context.Context, kind, name string) error {
 	if err := d.pass(ctx, "delete "+kind, time.Second); err != nil {
 		return err
@@ -320,6 +327,17 @@
 
 func (codec) QuarantineKind() string { return kindQuarantine }
 
+func (codec) RolloutKind() string { return kindRollouts }
+
+func (codec) Rollout(o object.Object) (rollout.Order, error) {
+	var order rollout.Order
+	err := json.Unmarshal(o.Spec, &order)
+	order.Revision = o.Revision
+	return order, err
+}
+
+func (codec) EncodeRollout(o rollout.Order) ([]byte, error) { return json.Marshal(o) }
+
 // keyedConfig is a configuration with workspaces, or without if Spaces is nil.
 type keyedConfig struct {
 	route.Config
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	relayed   *relayed
 	gate      *gate
 	quotas    *quotas
+	rollouts  *rollouts
 	// unused are the store's entries that cannot be used.
 	unused *unused
 	// quarantines are the requests that end workers.
@@ -132,7 +133,7 @@
 		meters:   load.NewHallMeters(clock.Now), judge: outlier.New(outlier.Config{Now: clock.Now}),
 		failed: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), copies: newCopies(),
 		neighbors: newNeighbors(), packs: newPacks(), relayed: newRelayed(), gate: &gate{}, keyQuestions: newKeyQuestions(),
-		quarantines: newQuarantines(), unused: newUnused(cfg.Log, cfg.Metrics),
+		quarantines: newQuarantines(), rollouts: newRollouts(cfg.Bounds.RolloutShare), unused: newUnused(cfg.Log, cfg.Metrics),
 		life: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
@@ -160,7 +161,7 @@
 		Demand: g.balancer.meter,
 		Meters: g.meters,
 		VMs:    func() int { return g.members.Len() + 1 },
-		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g, Quarantine: g.quarantines, Now: clock.Now,
+		VM:     cfg.VM, Decisions: g.decisions, Age: g.age, Limiter: g, Keys: g, Quarantine: g.quarantines, Rollouts: g.rollouts, Now: clock.Now,
 		LeaveWithin: g.leaveWithin(),
 		Retry:       retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryPart * float64(share.Whole)), Burst: retryBurst},
 	})
@@ -271,6 +272,9 @@
 func (g *Gateway) loops() []func(context.Context) {
 	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.startLoop, g.askLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.quarantineLoop, g.quarantineStoreLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
+	if g.rollouts.enabled() {
+		loops = append(loops, g.rolloutWatchLoop, g.rolloutLoop)
+	}
 	for _, kind := range g.watchedKinds() {
 		loops = append(loops, func(ctx context.Context) {
 			g.waitForPeers(ctx, kind)
@@ -288,7 +292,11 @@
 // listedKinds are the kinds that are read now and then; peers tell each other of
 // their changes.
 func (g *Gateway) listedKinds() []string {
-	return []string{g.cfg.Codec.MemberKind(), g.cfg.Codec.TrafficKind(), g.cfg.Codec.QuarantineKind()}
+	kinds := []string{g.cfg.Codec.MemberKind(), g.cfg.Codec.TrafficKind(), g.cfg.Codec.QuarantineKind()}
+	if g.rollouts.enabled() {
+		kinds = append(kinds, g.cfg.Codec.RolloutKind())
+	}
+	return kinds
 }
 
 // watchedKinds are the kinds whose changes must be in force soon.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -148,6 +150,7 @@
 func (v *vm) ask(path string) (int, string) {
 	req, _ := http.NewRequest(http.MethodPost, "http://"+v.front+path, nil)
 	req.Host = "h"
+	req.Header.Set("Id", strconv.FormatUint(rand.Uint64(), 36))
 	transport := &http.Transport{DisableKeepAlives: true}
 	res, err := transport.RoundTrip(req)
 	if err != nil {
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -22,6 +22,7 @@
 		Token: g.cfg.Token, Metrics: g.cfg.Metrics, Ready: g.Ready, Find: g.decisions.Find,
 		Status: g.status, Traffic: g.traffic,
 		Quarantine: operator.QuarantineConfig{All: g.quarantines.table.All, Release: g.releaseQuarantined},
+		Rollouts:   operator.RolloutsConfig{All: g.rolloutStatuses, Stop: g.stopRollout},
 		Intents: operator.IntentsConfig{
 			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.view, Changed: g.trafficChanged,
 		},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -144,6 +144,8 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_QuarantineTaken{QuarantineTaken: g.hearHangUps(from.VM, k.HangUps)}}
 	case *peerpb.Envelope_Quarantine:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_QuarantineTaken{QuarantineTaken: g.hearQuarantine(from.VM, k.Quarantine)}}
+	case *peerpb.Envelope_Rollouts:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_RolloutReports{RolloutReports: g.hearRollouts(ctx, from.VM, k.Rollouts)}}
 	case *peerpb.Envelope_Report:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Reported{Reported: g.reported()}}
 	default:
--- /dev/null
+++ b/internal/gateway/rolloutwire.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	rolling "github.com/ryehill/ryehill/coordination/rollout"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/rollout"
+)
+
+// maxTallies bounds the tallies, and the routes, that are taken from one message.
+const maxTallies = 8192
+
+const million = 1_000_000
+
+func toStep(o *order, now time.Time) *peerpb.RolloutStep {
+	step := o.share.Step()
+	message := &peerpb.RolloutStep{
+		Service: o.Service, Version: uint64(o.Version), Phase: uint32(step.Phase), WarmUp: step.WarmUp,
+		LeftMillis: o.end.Sub(now).Milliseconds(), Reason: step.Reason, SlowAfterMillis: make(map[string]uint32, len(step.SlowAfter)),
+		PartsPpm: make(map[string]uint32, len(step.Parts)),
+	}
+	for route, after := range step.SlowAfter {
+		message.SlowAfterMillis[route] = uint32(after.Milliseconds())
+	}
+	for route, part := range step.Parts {
+		message.PartsPpm[route] = uint32(part * million)
+	}
+	return message
+}
+
+func fromStep(message *peerpb.RolloutStep) (rolling.Step, error) {
+	step := rolling.Step{
+		Phase: rollout.Phase(message.GetPhase()), WarmUp: message.GetWarmUp(), Reason: message.GetReason(),
+		SlowAfter: make(map[string]time.Duration, len(message.GetSlowAfterMillis())),
+		Parts:     make(map[string]float64, len(message.GetPartsPpm())),
+	}
+	if message.GetPhase() > uint32(rollout.PhaseCompleted) || len(message.GetSlowAfterMillis())+len(message.GetPartsPpm()) > maxTallies {
+		return step, errors.Newf("phase %d with %d and %d routes", message.GetPhase(), len(message.GetSlowAfterMillis()), len(message.GetPartsPpm()))
+	}
+	for route, ppm := range message.GetPartsPpm() {
+		step.Parts[route] = float64(min(ppm, million)) / million
+	}
+	for route, millis := range message.GetSlowAfterMillis() {
+		step.SlowAfter[route] = time.Duration(millis) * time.Millisecond
+	}
+	return step, nil
+}
+
+func toReport(o rollout.Order, r *rollout.Report) *peerpb.RolloutReport {
+	message := &peerpb.RolloutReport{
+		Service: o.Service, Version: uint64(o.Version), UnderWayOld: uint32(max(r.UnderWayOld, 0)),
+		UnderWayNew: uint32(max(r.UnderWayNew, 0)), Keys: r.Keys.Bytes(),
+	}
+	for _, vms := range r.VMs {
+		message.Vms = append(message.Vms, uint32(vms))
+	}
+	for route, t := range r.Old {
+		message.Old = append(message.Old, toTally(rollout.Subject{Route: route}, t))
+	}
+	for subject, t := range r.New {
+		message.New = append(message.New, toTally(subject, t))
+	}
+	return message
+}
+
+func toTally(subject rollout.Subject, t rollout.Tally) *peerpb.RolloutTally {
+	return &peerpb.RolloutTally{
+		Route: subject.Route, Worker: subject.Worker, Ended: t.Ended, Failed: t.Failed, Slow: t.Slow, LogMillis: t.LogMillis,
+	}
+}
+
+func fromReport(message *peerpb.RolloutReport) rollout.Report {
+	r := rollout.NewReport()
+	r.UnderWayOld, r.UnderWayNew = int(message.GetUnderWayOld()), int(message.GetUnderWayNew())
+	r.Keys = rollout.SketchOf(message.GetKeys())
+	for phase, vms := range message.GetVms()[:min(len(message.GetVms()), len(r.VMs))] {
+		r.VMs[phase] = int(vms)
+	}
+	for _, t := range message.GetOld()[:min(len(message.GetOld()), maxTallies)] {
+		r.Old[t.GetRoute()] = fromTally(t)
+	}
+	for _, t := range message.GetNew()[:min(len(message.GetNew()), maxTallies)] {
+		r.New[rollout.Subject{Route: t.GetRoute(), Worker: t.GetWorker()}] = fromTally(t)
+	}
+	return r
+}
+
+func fromTally(t *peerpb.RolloutTally) rollout.Tally {
+	return rollout.Tally{Ended: t.GetEnded(), Failed: t.GetFailed(), Slow: t.GetSlow(), LogMillis: t.GetLogMillis()}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,7 @@
 	heldBack  *prometheus.GaugeVec
 	held      prometheus.Gauge
 	unused    *prometheus.CounterVec
+	rollout   *prometheus.GaugeVec
 }
 
 // New returns a set with a registry of its own.
@@ -82,6 +83,7 @@
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
 		leaving:   counter(r, "upstream_leaving_total", "Upstreams that said in an answer to this VM that they leave, by service.", "service"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
+		rollout:   gauge(r, "rollout_phase", "How far a new version of a service has come, from 0 (ordered) over 1 (trial), 2 (shift) and 3 (proved) to 4 (rolled back) or 5 (completed), at the VM that decides.", "service"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -200,6 +202,11 @@
 // SaidLeaving counts an upstream that said for the first time that it leaves.
 func (s *Set) SaidLeaving(service string) { s.leaving.WithLabelValues(service).Inc() }
 
+// RolloutPhase sets how far a new version of a service has come.
+func (s *Set) RolloutPhase(service string, phase int) {
+	s.rollout.WithLabelValues(service).Set(float64(phase))
+}
+
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
--- a/internal/program/gateway.go
+++ b/internal/program/gateway.go
@@ -80,6 +80,12 @@
 	return o, meant(err)
 }
 
+// ReplaceStatus implements gateway.Store.
+func (s storeAdapter) ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error) {
+	written, err := s.Store.ReplaceStatus(ctx, kind, name, revision, status)
+	return written, meant(err)
+}
+
 // Replace implements gateway.Store.
 func (s storeAdapter) Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error) {
 	written, err := s.Store.Replace(ctx, kind, name, revision, spec)
--- a/internal/program/operator.go
+++ b/internal/program/operator.go
@@ -47,7 +47,7 @@
 		Flags: append(settings.OperatorFlags(), outputFlag()),
 		Commands: []*cli.Command{
 			shiftCommand(), drainCommand(), capCommand(), confirmCommand(), stopCommand(),
-			statusCommand(), explainCommand(), quarantineCommand(), releaseCommand(), logsCommand(), lossesCommand(), lookupCommand(), configCommand(), demoCommand(),
+			statusCommand(), explainCommand(), quarantineCommand(), rolloutsCommand(), releaseCommand(), logsCommand(), lossesCommand(), lookupCommand(), configCommand(), demoCommand(),
 		},
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,6 +39,7 @@
 		duration("leave-within", "time within which a worker that leaves must get nothing more", 2500*time.Millisecond),
 		duration("revoke-within", "time within which an API key that was taken away must be refused", gateway.DefaultRevokeWithin),
 		&cli.BoolFlag{Name: "strict-revocation", Usage: "refuse requests with API keys while what is known of keys is older than that", Sources: env("strict-revocation")},
+		&cli.FloatFlag{Name: "rollout-share", Usage: "part of a service's requests that a new version may get until it is proved; 0 knows no roll-outs", Sources: env("rollout-share")},
 		duration("quota-window", "time over which the limits of workspaces hold", gateway.DefaultQuotaWindow),
 		&cli.FloatFlag{Name: "quota-overage", Value: 0.1, Usage: "part by which a workspace may pass its limit in a window", Sources: env("quota-overage")},
 		&cli.FloatFlag{Name: "quota-slack", Value: 20, Usage: "requests by which it may pass it beside", Sources: env("quota-slack")},
@@ -62,6 +63,7 @@
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
 			ApplyWithin:  min(c.Duration("apply-within"), c.Duration("leave-within")),
 			RevokeWithin: c.Duration("revoke-within"), StrictRevocation: c.Bool("strict-revocation"),
+			RolloutShare: c.Float("rollout-share"),
 			Quota: ratelimit.Bounds{
 				Window: c.Duration("quota-window"), Overage: c.Float("quota-overage"), Slack: c.Float("quota-slack"),
 			},
--- a/state/rollout/report.go
+++ b/state/rollout/report.go
@@ -5,12 +5,12 @@
 
 // Tally counts the requests of one kind that have ended at workers.
 type Tally struct {
-	Ended  uint32
-	Failed uint32
+	Ended  uint32 `json:"ended"`
+	Failed uint32 `json:"failed"`
 	// Slow is how many took several times as long as the old version does.
-	Slow uint32
+	Slow uint32 `json:"slow"`
 	// LogMillis sums the logarithms of the times that they took, in milliseconds.
-	LogMillis float64
+	LogMillis float64 `json:"-"`
 }
 
 // Add adds another tally.
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -31,12 +31,14 @@
 
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/coordination/rollout"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/decision"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/state/route"
+	"github.com/ryehill/ryehill/state/worker"
 	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
@@ -96,6 +98,8 @@
 	Keys Keys
 	// Quarantine knows the requests that end workers. Nil knows none.
 	Quarantine Quarantine
+	// Rollouts divides requests between the versions of a service. Nil knows one version.
+	Rollouts Rollouts
 	// LeaveWithin is for how long after a worker has said that it leaves it may get
 	// requests. Default 0: it gets none.
 	LeaveWithin time.Duration
@@ -136,6 +140,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = noQuarantine{}
 	}
+	if cfg.Rollouts == nil {
+		cfg.Rollouts = noRollouts{}
+	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), lines: newLines(), losses: newLosses(), budgets: make(map[string]*retry.Budget)}
 }
 
@@ -229,10 +236,14 @@
 	hideKey bool
 	// service is the one chosen for the request.
 	service string
-	until   time.Time
-	key     uint64
-	keyed   bool
-	body    *body
+	// share is this VM's part in bringing in a new version of it, nil if there is none,
+	// and track says which workers the next try may go to.
+	share *rollout.Share
+	track worker.Track
+	until time.Time
+	key   uint64
+	keyed bool
+	body  *body
 	// print is the fingerprint, nil while nobody has asked for it.
 	print *quarantine.Fingerprint
 	tried []string
@@ -263,6 +274,7 @@
 		q.key = xxhash.Sum64String(q.id)
 	}
 	q.service = q.handler.split.Choose(q.route, q.key)
+	q.share = q.handler.cfg.Rollouts.Share(q.service)
 	var err error
 	if q.body, err = readBody(q.in, s.Routes.Limits().MaxBodyBytes); err != nil {
 		q.badBody(err)
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -32,7 +32,9 @@
 	unsent bool
 	// hungUp is set if the worker ended the connection before it answered.
 	hungUp bool
-	err    error
+	// clientLeft is set if the client had left before the try ended.
+	clientLeft bool
+	err        error
 }
 
 // run tries workers until one answers or no other try is allowed.
@@ -47,7 +49,7 @@
 		}
 		s := q.handler.cfg.Snapshot()
 		if next == nil {
-			choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
+			choice, refusal := q.place(s, number > 1)
 			q.noteChoice(number, choice, refusal)
 			if refusal != placement.RefusalNone {
 				q.meterRefusal(choice)
@@ -96,7 +98,7 @@
 func (q *request) placement() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
-		Allows: q.allowsRegion, Tried: q.tried,
+		Allows: q.allowsRegion, Tried: q.tried, Track: q.track,
 	}
 }
 
@@ -122,12 +124,15 @@
 	defer func() { meter.End(w.Service, load.Event{Moved: c.Moved(), Bytes: max(q.body.length, 0) + q.answered}) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	versioned := q.sentTo(c)
 	stopWaiting := q.grantPatience(ctx, cancel, number)
 	sent := q.handler.cfg.Now()
 	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
 	next := stopWaiting()
 	if err != nil {
-		return q.judge(c, err), next
+		failed := q.judge(c, err)
+		versioned.failed(failed)
+		return failed, next
 	}
 	if next != nil {
 		next.Load().End() // The answer came at the last moment.
@@ -143,8 +148,11 @@
 	q.handler.cfg.Demand.Served(w.Service, q.since(sent))
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
-		return &failure{cause: retry.CauseBroken, err: err}, nil
+		failed := &failure{cause: retry.CauseBroken, err: err}
+		versioned.failed(failed)
+		return failed, nil
 	}
+	versioned.answered(answer.Status())
 	held.Answered()
 	return nil, nil
 }
@@ -179,12 +187,12 @@
 	if q.handler.stopping.Load() {
 		return nil
 	}
-	s := q.handler.cfg.Snapshot()
-	choice, refusal := q.handler.cfg.Placer.Place(s, q.placement())
+	choice, refusal := q.place(q.handler.cfg.Snapshot(), true)
 	if refusal != placement.RefusalNone {
 		return nil
 	}
 	if !q.decide(ctx, &failure{cause: retry.CauseBroken}, number).Again() {
+		q.withdraw()
 		choice.Load().End()
 		return nil
 	}
@@ -228,6 +236,7 @@
 		q.hear(c, failed.Status(), failed.Header())
 	}
 	left := q.in.Context().Err() != nil
+	f.clientLeft = left
 	switch failed.Kind() {
 	case upstream.KindShed, upstream.KindBusy:
 		f.cause = retry.CauseShed
--- a/transport/operator/gateway.go
+++ b/transport/operator/gateway.go
@@ -33,12 +33,14 @@
 	// Traffic returns the moves and caps in force.
 	Traffic    func() *spec.Traffic
 	Quarantine QuarantineConfig
+	Rollouts   RolloutsConfig
 	// Find returns the decision on a request, by the request's id.
 	Find func(id string) (decision.Record, bool)
 }
 
 // NewGateway returns the operators' API of a gateway: metrics, health, intents,
-// status, GET /v1/decisions/ID for the id of a request or of a move, and the quarantine.
+// status, GET /v1/decisions/ID for the id of a request or of a move, the quarantine, and
+// new versions that are brought in.
 func NewGateway(cfg GatewayConfig) http.Handler {
 	root := http.NewServeMux()
 	root.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
@@ -55,6 +57,7 @@
 	v1 := http.NewServeMux()
 	registerIntents(v1, cfg.Intents)
 	cfg.Quarantine.register(v1)
+	cfg.Rollouts.register(v1)
 	v1.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
 		outcome.WriteJSON(w, http.StatusOK, cfg.Status(r.Context()))
 	})
