--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -28,7 +28,6 @@
 	"sync"
 	"time"
 
-
 	"github.com/ryehill/ryehill/state/spec"
 )
 
--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -185,6 +185,7 @@
 		d.endShift(in)
 	case rollout.PhaseProved:
 		d.complete(in)
+	default: // Nothing follows.
 	}
 	return Step{
 		Phase: d.Phase(), WarmUp: d.Phase() == rollout.PhaseTrial && in.Left < drain+warmFor,
@@ -208,6 +209,7 @@
 		d.enter(eventProve, in.Now, taken)
 	case rollout.PhaseRolledBack:
 		d.enter(eventRollBack, in.Now, taken)
+	default: // What is completed stands in the store.
 	}
 }
 
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -140,6 +140,7 @@
 		if !again && s.allowed() {
 			return worker.TrackNew
 		}
+	default:
 	}
 	return worker.TrackStable
 }
