gateway: what changes of an order is read under its lock

The store's state of an order was read by the loop that decides while the one that compiles wrote it. Found by reading; the race detector is clean on the tests of roll-outs.

--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -82,7 +82,7 @@
 		}
 		seen := g.askRollouts(ctx, g.rolloutSteps(open))
 		for _, o := range open {
-			wait = min(wait, g.decideRollout(ctx, o, seen[o.Service]))
+			wait = min(wait, g.decideRollout(ctx, o, seen[o.service]))
 		}
 	}
 }
@@ -93,17 +93,18 @@
 	if seen == nil {
 		return rolloutInterval
 	}
+	held, end := g.rollouts.state(o)
 	if o.decider == nil {
-		o.decider = rolling.NewDecider(rolling.DeciderConfig{Order: o.Order})
+		o.decider = rolling.NewDecider(rolling.DeciderConfig{Order: held})
 	}
-	before := o.decider.Phase()
+	before, left := o.decider.Phase(), end.Sub(now)
 	step := o.decider.Decide(rolling.Inputs{
-		Now: now, Left: o.end.Sub(now), Report: *seen, VMs: len(g.live()), Slots: g.newSlots(o.Service),
+		Now: now, Left: left, Report: *seen, VMs: len(g.live()), Slots: g.newSlots(o.service),
 	})
 	if step.Phase != before {
-		g.log.Info("rollout: "+step.Phase.String(), "service", o.Service, "version", o.Name, "reason", step.Reason,
-			"left_ms", o.end.Sub(now).Milliseconds(), "vms", seen.InPhase(rollout.PhaseOrdered))
-		g.cfg.Metrics.RolloutPhase(o.Service, int(step.Phase))
+		g.log.Info("rollout: "+step.Phase.String(), "service", o.service, "version", o.name, "reason", step.Reason,
+			"left_ms", left.Milliseconds(), "vms", seen.InPhase(rollout.PhaseOrdered))
+		g.cfg.Metrics.RolloutPhase(o.service, int(step.Phase))
 	}
 	g.rollouts.note(o, step.Reason, true)
 	if step.Phase == rollout.PhaseCompleted {
@@ -111,7 +112,7 @@
 		if !g.writeRollout(ctx, o, step.Phase) {
 			return shiftInterval
 		}
-	} else if step.Phase > rollout.PhaseOrdered && o.Phase != stored(step.Phase) {
+	} else if step.Phase > rollout.PhaseOrdered && held.Phase != stored(step.Phase) {
 		go g.writeRollout(ctx, o, stored(step.Phase))
 	}
 	o.share.Hear(step)
@@ -183,7 +184,7 @@
 func (r *rollouts) toWrite(o *order, phase rollout.Phase) (rollout.Order, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := o.Order
+	next := o.stored
 	if o.writing || next.Phase.Final() {
 		return next, false
 	}
@@ -205,17 +206,24 @@
 func (r *rollouts) wrote(o *order, stored rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stored.Version == o.Version && stored.Revision >= o.Revision {
-		o.Order = stored
+	if stored.Version == o.version && stored.Revision >= o.stored.Revision {
+		o.stored = stored
 	}
 }
 
+// state returns an order as the store has it, and when it is to be done.
+func (r *rollouts) state(o *order) (rollout.Order, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return o.stored, o.end
+}
+
 // readRollout reads an order whose write failed: the answer may have been lost, or the
 // order may have been changed.
 func (g *Gateway) readRollout(ctx context.Context, o *order) {
-	object, err := g.cfg.Store.Get(ctx, g.cfg.Codec.RolloutKind(), o.Service)
+	object, err := g.cfg.Store.Get(ctx, g.cfg.Codec.RolloutKind(), o.service)
 	if err != nil {
-		g.log.V(1).Info("rollout: order not read", "service", o.Service, "error", err.Error())
+		g.log.V(1).Info("rollout: order not read", "service", o.service, "error", err.Error())
 		return
 	}
 	if held, err := g.cfg.Codec.Rollout(object); err == nil {
@@ -228,7 +236,7 @@
 	now := clock.Now()
 	message := &peerpb.Rollouts{ForHall: true}
 	for _, o := range open {
-		message.Steps = append(message.Steps, toStep(o, now))
+		message.Steps = append(message.Steps, g.toStep(o, now))
 	}
 	return message
 }
@@ -247,7 +255,7 @@
 			defer mu.Unlock()
 			for _, r := range reports {
 				if o, ok := g.rollouts.find(r.GetService(), rollout.Version(r.GetVersion())); ok {
-					seen.join(o.Service, fromReport(r))
+					seen.join(o.service, fromReport(r))
 				}
 			}
 		})
@@ -296,7 +304,7 @@
 	}
 	reply := &peerpb.RolloutReports{}
 	for o, r := range seen {
-		reply.Reports = append(reply.Reports, toReport(o.Order, r))
+		reply.Reports = append(reply.Reports, toReport(o, r))
 	}
 	return reply
 }
@@ -336,11 +344,11 @@
 	}
 	step, err := fromStep(message)
 	if err != nil {
-		g.log.Info("rollout: a step that cannot be read", "peer", from, "service", o.Service, "error", err.Error())
+		g.log.Info("rollout: a step that cannot be read", "peer", from, "service", o.service, "error", err.Error())
 		return
 	}
 	if o.share.Hear(step) {
-		g.log.V(1).Info("rollout: another VM has decided", "service", o.Service, "version", o.Name, "phase", step.Phase.String(), "peer", from)
+		g.log.V(1).Info("rollout: another VM has decided", "service", o.service, "version", o.name, "phase", step.Phase.String(), "peer", from)
 	}
 	g.rollouts.note(o, step.Reason, false)
 	g.rollouts.until(o, clock.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond))
@@ -362,8 +370,8 @@
 	if s == nil {
 		return r
 	}
-	r.UnderWayOld = g.underWay(s.Workers.Service(o.Service))
-	r.UnderWayNew = g.underWay(s.Workers.Track(o.Service, worker.TrackNew))
+	r.UnderWayOld = g.underWay(s.Workers.Service(o.service))
+	r.UnderWayNew = g.underWay(s.Workers.Track(o.service, worker.TrackNew))
 	return r
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -35,12 +35,22 @@
 
 // order is one order as this VM knows it.
 type order struct {
-	rollout.Order
+	service string
+	version rollout.Version
+	// name is the version as the operator has written it.
+	name  string
 	share *rolling.Share
-	// heard is when this VM heard of it, end when it is to be done.
-	heard, end time.Time
-	// decider is set while this VM decides.
+	// heard is when this VM heard of it.
+	heard time.Time
+	// decider is set once this VM has decided. Only rolloutLoop uses it.
 	decider *rolling.Decider
+
+	// What follows is under the lock of rollouts.
+
+	// stored is the order as the store has it.
+	stored rollout.Order
+	// end is when it is to be done.
+	end time.Time
 	// reason says why the order is where it is, as the VM that decides has told.
 	reason string
 	// decides is set while this VM decides.
@@ -69,15 +79,15 @@
 	for _, next := range orders {
 		listed[next.Service] = true
 		held, ok := r.orders[next.Service]
-		if !ok || held.Version != next.Version {
+		if !ok || held.version != next.Version {
 			if !ok && len(r.orders) >= maxOrders {
 				continue
 			}
 			held = r.begin(next, now)
 			fresh = append(fresh, next)
 		}
-		if next.Revision >= held.Revision {
-			held.Order = next
+		if next.Revision >= held.stored.Revision {
+			held.stored = next
 		}
 		if next.Phase.Final() {
 			held.share.Hear(rolling.Step{Phase: next.Phase})
@@ -86,7 +96,7 @@
 	maps.DeleteFunc(r.orders, func(service string, _ *order) bool { return !listed[service] })
 	shares := make(map[string]*rolling.Share, len(r.orders))
 	for service, o := range r.orders {
-		if !o.Phase.Final() {
+		if !o.stored.Phase.Final() {
 			shares[service] = o.share
 		}
 	}
@@ -102,7 +112,7 @@
 		had = min(max(now.Sub(next.Since), 0), next.Duration)
 	}
 	o := &order{
-		Order: next, heard: now, end: now.Add(next.Duration - had),
+		service: next.Service, version: next.Version, name: next.Name, stored: next, heard: now, end: now.Add(next.Duration - had),
 		share: rolling.NewShare(rolling.ShareConfig{Service: next.Service, Version: next.Version, Part: r.part, Now: clock.Now}),
 	}
 	r.orders[next.Service] = o
@@ -114,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o, ok := r.orders[service]
-	return o, ok && o.Version == version
+	return o, ok && o.version == version
 }
 
 // underWay returns the orders of which the store does not say that nothing follows.
@@ -123,11 +133,11 @@
 	defer r.mu.Unlock()
 	var open []*order
 	for _, o := range r.orders {
-		if !o.Phase.Final() {
+		if !o.stored.Phase.Final() {
 			open = append(open, o)
 		}
 	}
-	slices.SortFunc(open, func(a, b *order) int { return strings.Compare(a.Service, b.Service) })
+	slices.SortFunc(open, func(a, b *order) int { return strings.Compare(a.service, b.service) })
 	return open
 }
 
@@ -169,7 +179,7 @@
 	defer r.mu.Unlock()
 	orders := make(known, len(r.orders))
 	for service, o := range r.orders {
-		orders[service] = knownOrder{version: o.Version, phase: o.share.Phase()}
+		orders[service] = knownOrder{version: o.version, phase: o.share.Phase()}
 	}
 	return orders
 }
--- a/internal/gateway/rolloutstatus.go
+++ b/internal/gateway/rolloutstatus.go
@@ -32,7 +32,7 @@
 	g.rollouts.mu.Lock()
 	defer g.rollouts.mu.Unlock()
 	s := operator.RolloutStatus{
-		Service: o.Service, Version: o.Name, Phase: o.share.Phase().String(), Reason: o.reason,
+		Service: o.service, Version: o.name, Phase: o.share.Phase().String(), Reason: o.reason,
 		LeftMillis: o.end.Sub(clock.Now()).Milliseconds(), Decides: o.decides,
 	}
 	s.Requests, s.Sent = o.share.Counts()
@@ -50,7 +50,7 @@
 	if !ok || o.share.Phase().Final() {
 		return false
 	}
-	g.log.Info("rollout: stopped by an operator", "service", service, "version", o.Name)
+	g.log.Info("rollout: stopped by an operator", "service", service, "version", o.name)
 	const reason = "an operator has stopped it"
 	o.share.Hear(rolling.Step{Phase: rollout.PhaseRolledBack, Reason: reason})
 	g.rollouts.note(o, reason, false)
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -18,11 +18,12 @@
 
 const million = 1_000_000
 
-func toStep(o *order, now time.Time) *peerpb.RolloutStep {
+func (g *Gateway) toStep(o *order, now time.Time) *peerpb.RolloutStep {
 	step := o.share.Step()
+	_, end := g.rollouts.state(o)
 	message := &peerpb.RolloutStep{
-		Service: o.Service, Version: uint64(o.Version), Phase: uint32(step.Phase), WarmUp: step.WarmUp,
-		LeftMillis: o.end.Sub(now).Milliseconds(), Reason: step.Reason, SlowAfterMillis: make(map[string]uint32, len(step.SlowAfter)),
+		Service: o.service, Version: uint64(o.version), Phase: uint32(step.Phase), WarmUp: step.WarmUp,
+		LeftMillis: end.Sub(now).Milliseconds(), Reason: step.Reason, SlowAfterMillis: make(map[string]uint32, len(step.SlowAfter)),
 		PartsPpm: make(map[string]uint32, len(step.Parts)),
 	}
 	for route, after := range step.SlowAfter {
@@ -52,9 +53,9 @@
 	return step, nil
 }
 
-func toReport(o rollout.Order, r *rollout.Report) *peerpb.RolloutReport {
+func toReport(o *order, r *rollout.Report) *peerpb.RolloutReport {
 	message := &peerpb.RolloutReport{
-		Service: o.Service, Version: uint64(o.Version), UnderWayOld: uint32(max(r.UnderWayOld, 0)),
+		Service: o.service, Version: uint64(o.version), UnderWayOld: uint32(max(r.UnderWayOld, 0)),
 		UnderWayNew: uint32(max(r.UnderWayNew, 0)), Keys: r.Keys.Bytes(),
 	}
 	for _, vms := range r.VMs {
