rollout: old workers serve what new ones have no room for until the last requests are few

Change: no other measure of room than what is under way; a proved version's overflow goes to old workers until these have less than a twentieth of the requests, then nothing more; a VM's own doubts end once the version is proved.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -63,8 +63,9 @@
 	// roomNeeded is the part of the new workers' slots that what is under way may take
 	// up before they get everything.
 	roomNeeded = 0.8
-	// likeBefore is the part of the old workers' slots that will do whatever is under way.
-	likeBefore = 0.8
+	// lastPart is the part of all requests that may be under way at old workers when these
+	// get no more: until then they serve what the new ones have no room for.
+	lastPart = 0.05
 	// settleTimes is how many times as long as a typical request of the old version it
 	// takes until all popular keys have been run once, and leastSettle bounds that.
 	settleTimes = 10
@@ -104,9 +105,8 @@
 	// Report is what VMs have seen, and VMs how many there are that count.
 	Report rollout.Report
 	VMs    int
-	// Slots are those of the new version's workers that can be used, OldSlots those of the
-	// old one's.
-	Slots, OldSlots int
+	// Slots are those of the new version's workers that can be used.
+	Slots int
 	// Stopped is set if an operator has stopped the order.
 	Stopped bool
 }
@@ -121,6 +121,8 @@
 	// Parts are the parts of the keys that are tried out on routes on which
 	// worker.CanaryPart of them brings nothing.
 	Parts map[string]float64
+	// Closed is set if old workers get nothing more, even if the new ones have no room.
+	Closed bool
 	// Reason says why the order is where it is, and what it waits for.
 	Reason string
 }
@@ -134,6 +136,8 @@
 	// since is when the phase began, tried when the first requests were sent.
 	since, tried time.Time
 	reason       string
+	// closed is set once old workers get nothing more whatever happens.
+	closed bool
 	// parted are the parts of the keys of routes that are tried out, where it is not
 	// worker.CanaryPart.
 	parted map[string]float64
@@ -193,7 +197,7 @@
 	}
 	return Step{
 		Phase: d.Phase(), WarmUp: d.Phase() == rollout.PhaseTrial && in.Left < drain+warmFor,
-		SlowAfter: slowAfter(in.Report.Old), Parts: d.parts(in), Reason: d.reason,
+		SlowAfter: slowAfter(in.Report.Old), Parts: d.parts(in), Closed: d.closed, Reason: d.reason,
 	}
 }
 
@@ -239,8 +243,8 @@
 		d.reason = fmt.Sprintf("is tried out for %s more", (in.Left - drain).Round(time.Millisecond))
 	case tried < leastTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", tried.Round(time.Millisecond), answers)
-	case float64(underWay) > roomNeeded*float64(in.Slots) && float64(in.Slots) < likeBefore*float64(in.OldSlots):
-		d.reason = fmt.Sprintf("waits for workers: %d requests are under way, %d slots are there, %d old ones", underWay, in.Slots, in.OldSlots)
+	case float64(underWay) > roomNeeded*float64(in.Slots):
+		d.reason = fmt.Sprintf("waits for workers: %d requests are under way, %d slots are there", underWay, in.Slots)
 	default:
 		d.enter(eventShift, in.Now, fmt.Sprintf("serves everything after %d sound answers", answers))
 	}
@@ -288,9 +292,14 @@
 // live and does not say so may have: the order waits for it.
 func (d *Decider) complete(in Inputs) {
 	proved := in.Report.InPhase(rollout.PhaseProved)
+	underWay := in.Report.UnderWayOld + in.Report.UnderWayNew
 	switch {
 	case proved < in.VMs:
 		d.reason = fmt.Sprintf("waits for %d of %d VMs", in.VMs-proved, in.VMs)
+	case !d.closed && float64(in.Report.UnderWayOld) > lastPart*float64(underWay):
+		d.reason = fmt.Sprintf("%d of %d requests are at old workers still", in.Report.UnderWayOld, underWay)
+	case !d.closed: // What the next reports say holds also for what comes after them.
+		d.closed = true
 	case in.Report.UnderWayOld > 0:
 		d.reason = fmt.Sprintf("waits for %d requests at old workers", in.Report.UnderWayOld)
 	default:
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -150,6 +150,36 @@
 			s.Hear(rolling.Step{Phase: rollout.PhaseShift})
 		}
 		So(failed, ShouldBeLessThan, 30)
+		s.Hear(rolling.Step{Phase: rollout.PhaseProved}) // All together have found it to be sound.
+		So(s.Choose("r", 1, false), ShouldEqual, worker.TrackNew)
+	})
+}
+
+// While new workers have no room, old ones that are still there serve what they cannot, and
+// the order waits; once the old ones are to end, nothing goes there.
+func TestOldWorkersServeWhatNewOnesCannot(t *testing.T) {
+	Convey("A proved version whose workers are full", t, func() {
+		s := rolling.NewShare(rolling.ShareConfig{Service: "s", Version: 2, Part: 0.1, Now: func() time.Time { return time.Unix(1000, 0) }})
+		falls := func() bool {
+			So(s.Choose("r", 1, false), ShouldEqual, worker.TrackNew)
+			return s.Withdraw()
+		}
+		s.Hear(rolling.Step{Phase: rollout.PhaseProved})
+		So(falls(), ShouldBeTrue)
+		s.Hear(rolling.Step{Phase: rollout.PhaseProved, Closed: true})
+		So(falls(), ShouldBeFalse)
+	})
+	Convey("The order waits while many requests are at old workers", t, func() {
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		r := rollout.NewReport()
+		r.VMs[rollout.PhaseProved], r.UnderWayOld, r.UnderWayNew = 9, 20, 100
+		in := rolling.Inputs{Now: time.Unix(1000, 0), Left: time.Second, Report: r, VMs: 9, Slots: 90}
+		So(d.Decide(in).Closed, ShouldBeFalse)
+		in.Report.UnderWayOld = 3
+		So(d.Decide(in).Closed, ShouldBeTrue)
+		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseProved)
+		in.Report.UnderWayOld = 0
+		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseCompleted)
 	})
 }
 
@@ -162,6 +192,7 @@
 		r.VMs[rollout.PhaseProved] = 9
 		now := time.Unix(1000, 0)
 		So(d.Decide(rolling.Inputs{Now: now, Left: time.Second, Report: r, VMs: 10, Slots: 9}).Phase, ShouldEqual, rollout.PhaseProved)
+		So(d.Decide(rolling.Inputs{Now: now, Left: time.Second, Report: r, VMs: 9, Slots: 9}).Closed, ShouldBeTrue)
 		So(d.Decide(rolling.Inputs{Now: now, Left: time.Second, Report: r, VMs: 9, Slots: 9}).Phase, ShouldEqual, rollout.PhaseCompleted)
 	})
 	Convey("A decider takes over what another one has decided", t, func() {
--- a/coordination/rollout/share.go
+++ b/coordination/rollout/share.go
@@ -154,7 +154,7 @@
 	switch {
 	case s.phase.Final():
 		return s.phase
-	case s.bad, !s.cfg.Now().Before(s.until):
+	case s.bad && s.phase < rollout.PhaseProved, !s.cfg.Now().Before(s.until):
 		return rollout.PhaseOrdered
 	}
 	return s.phase
@@ -177,7 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent--
-	return s.phaseNow() < rollout.PhaseProved
+	return s.phaseNow() < rollout.PhaseProved || s.phase == rollout.PhaseProved && !s.step.Closed
 }
 
 // Try is a request at a worker.
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -22,7 +22,7 @@
 	step := o.share.Step()
 	_, end := g.rollouts.state(o)
 	message := &peerpb.RolloutStep{
-		Service: o.service, Version: uint64(o.version), Phase: uint32(step.Phase), WarmUp: step.WarmUp,
+		Service: o.service, Version: uint64(o.version), Phase: uint32(step.Phase), WarmUp: step.WarmUp, Closed: step.Closed,
 		LeftMillis: end.Sub(now).Milliseconds(), Reason: step.Reason, SlowAfterMillis: make(map[string]uint32, len(step.SlowAfter)),
 		PartsPpm: make(map[string]uint32, len(step.Parts)),
 	}
@@ -37,7 +37,7 @@
 
 func fromStep(message *peerpb.RolloutStep) (rolling.Step, error) {
 	step := rolling.Step{
-		Phase: rollout.Phase(message.GetPhase()), WarmUp: message.GetWarmUp(), Reason: message.GetReason(),
+		Phase: rollout.Phase(message.GetPhase()), WarmUp: message.GetWarmUp(), Closed: message.GetClosed(), Reason: message.GetReason(),
 		SlowAfter: make(map[string]time.Duration, len(message.GetSlowAfterMillis())),
 		Parts:     make(map[string]float64, len(message.GetPartsPpm())),
 	}
