rollout: the new workers need room for the most that came lately, and old requests more time

Change: what counts is the most that was under way in some 20 s; five typical times for the last requests, 0.9 s to write it down.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -51,18 +51,21 @@
 	// drainTimes is how many times as long as a typical request of the old version the
 	// last ones take, leastDrain and mostDrain bound that, and writeFor is what it takes
 	// to hear that all are done and to write it down.
-	drainTimes = 3
+	drainTimes = 5
 	leastDrain = 600 * time.Millisecond
 	mostDrain  = 4 * time.Second
-	writeFor   = 500 * time.Millisecond
+	writeFor   = 900 * time.Millisecond
 	// drainPart is the part of the order's time that the drain may take up at most.
 	drainPart = 1.0 / 3
 	// warmFor is for how long before the shift single requests of all keys go to the
 	// workers that are to hold them.
 	warmFor = 4 * time.Second
-	// roomNeeded is the part of the new workers' slots that what is under way may take
-	// up before they get everything.
-	roomNeeded = 0.8
+	// roomNeeded is the part of the new workers' slots that the most requests which were
+	// under way lately may take up before they get everything. There may be fewer of them
+	// than old ones, and they are slow with each key at first.
+	roomNeeded = 0.9
+	// peakFades is the time in which the most that was under way fades to 1/e.
+	peakFades = 20 * time.Second
 	// lastPart is the part of all requests that may be under way at old workers when these
 	// get no more: until then they serve what the new ones have no room for.
 	lastPart = 0.05
@@ -136,6 +139,9 @@
 	// since is when the phase began, tried when the first requests were sent.
 	since, tried time.Time
 	reason       string
+	// peak is the most that was under way lately.
+	peak   float64
+	peakAt time.Time
 	// closed is set once old workers get nothing more whatever happens.
 	closed bool
 	// parted are the parts of the keys of routes that are tried out, where it is not
@@ -182,6 +188,7 @@
 		d.enter(eventRollBack, in.Now, "an operator has stopped it")
 	}
 	drain := d.drainTime(slowest)
+	d.notePeak(in)
 	switch d.Phase() {
 	case rollout.PhaseOrdered:
 		if in.Slots > 0 {
@@ -232,19 +239,24 @@
 	}
 }
 
+// notePeak notes how many requests are under way.
+func (d *Decider) notePeak(in Inputs) {
+	left := math.Exp(-in.Now.Sub(d.peakAt).Seconds() / peakFades.Seconds())
+	d.peak, d.peakAt = max(d.peak*left, float64(in.Report.UnderWayOld+in.Report.UnderWayNew)), in.Now
+}
+
 // endTrial lets the new version serve everything, if it has been tried out for long enough
 // and the rest of the time is needed.
 func (d *Decider) endTrial(in Inputs, drain time.Duration) {
 	tried := in.Now.Sub(d.since)
 	answers := int(total(in.Report.Sum()).Ended)
-	underWay := in.Report.UnderWayOld + in.Report.UnderWayNew
 	switch {
 	case in.Left > drain:
 		d.reason = fmt.Sprintf("is tried out for %s more", (in.Left - drain).Round(time.Millisecond))
 	case tried < leastTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", tried.Round(time.Millisecond), answers)
-	case float64(underWay) > roomNeeded*float64(in.Slots):
-		d.reason = fmt.Sprintf("waits for workers: %d requests are under way, %d slots are there", underWay, in.Slots)
+	case d.peak > roomNeeded*float64(in.Slots):
+		d.reason = fmt.Sprintf("waits for workers: up to %.0f requests were under way lately, %d slots are there", d.peak, in.Slots)
 	default:
 		d.enter(eventShift, in.Now, fmt.Sprintf("serves everything after %d sound answers", answers))
 	}
--- a/coordination/rollout/fleet_test.go
+++ b/coordination/rollout/fleet_test.go
@@ -39,6 +39,7 @@
 	order   rollout.Order
 	perS    float64
 	keys    int
+	slots   int
 	// warm is from when on a key is fast at a place.
 	warm     map[string]time.Time
 	fault    *fault
@@ -81,14 +82,14 @@
 	modelShare    = 0.1
 	modelSlack    = 50
 	modelDuration = 14 * time.Second
-	modelWorkers  = 120
+	modelSlots    = 720
 )
 
 func newModel(seed uint64, vms int) *model {
 	m := &model{
 		seed:   seed,
 		random: rand.New(rand.NewPCG(seed, seed)), begun: time.Unix(1000, 0), now: time.Unix(1000, 0),
-		perS: 1200, keys: 400, warm: make(map[string]time.Time), deaf: make(map[int]bool), share: modelShare,
+		perS: 1200, keys: 400, slots: modelSlots, warm: make(map[string]time.Time), deaf: make(map[int]bool), share: modelShare,
 		order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration},
 	}
 	for range vms {
@@ -186,7 +187,7 @@
 		}
 	}
 	sum.UnderWayOld = m.underWay
-	step := m.decider.Decide(rolling.Inputs{Now: m.now, Left: modelDuration - at, Report: sum, VMs: heard, Slots: 6 * modelWorkers})
+	step := m.decider.Decide(rolling.Inputs{Now: m.now, Left: modelDuration - at, Report: sum, VMs: heard, Slots: m.slots})
 	m.phase, m.reason = step.Phase, step.Reason
 	for i, vm := range m.vms {
 		if !m.deaf[i] {
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -25,7 +25,7 @@
 		"calm":                          func(*model) {},
 		"a service that is ill in both": func(m *model) { m.ill = 0.08 },
 		"few requests":                  func(m *model) { m.perS = 60 },
-		"many keys":                     func(m *model) { m.keys = 4000 },
+		"many keys":                     func(m *model) { m.keys, m.slots = 4000, 3*modelSlots },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -202,6 +202,18 @@
 		step := d.Decide(rolling.Inputs{Now: time.Unix(1000, 0), Left: time.Second, Report: r, VMs: 6, Slots: 9})
 		So(step.Phase, ShouldEqual, rollout.PhaseRolledBack)
 	})
+	Convey("The new version does not get everything while its workers are too few for what came lately", t, func() {
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		r := rollout.NewReport()
+		r.VMs[rollout.PhaseTrial], r.UnderWayOld = 6, 100
+		in := rolling.Inputs{Now: time.Unix(1000, 0), Left: modelDuration, Report: r, VMs: 6, Slots: 90}
+		d.Decide(in)
+		in.Now, in.Left, in.Report.UnderWayOld = in.Now.Add(10*time.Second), time.Second, 50
+		in.Slots = 60
+		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseTrial)
+		in.Slots = 90
+		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseShift)
+	})
 	Convey("Nothing begins before there are workers of the new version", t, func() {
 		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
 		r := rollout.NewReport()
