--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -64,6 +64,9 @@
 	// under way lately may take up before they get everything. There may be fewer of them
 	// than old ones, and they are slow with each key at first.
 	roomNeeded = 0.9
+	// slotsNeeded is the part of the old workers' slots that new ones must have: fewer
+	// workers also keep fewer keys warm.
+	slotsNeeded = 0.75
 	// peakFades is the time in which the most that was under way fades to 1/e.
 	peakFades = 20 * time.Second
 	// lastPart is the part of all requests that may be under way at old workers when these
@@ -108,8 +111,9 @@
 	// Report is what VMs have seen, and VMs how many there are that count.
 	Report rollout.Report
 	VMs    int
-	// Slots are those of the new version's workers that can be used.
-	Slots int
+	// Slots are those of the new version's workers that can be used, OldSlots those of the
+	// old one's.
+	Slots, OldSlots int
 	// Stopped is set if an operator has stopped the order.
 	Stopped bool
 }
@@ -255,8 +259,9 @@
 		d.reason = fmt.Sprintf("is tried out for %s more", (in.Left - drain).Round(time.Millisecond))
 	case tried < leastTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", tried.Round(time.Millisecond), answers)
-	case d.peak > roomNeeded*float64(in.Slots):
-		d.reason = fmt.Sprintf("waits for workers: up to %.0f requests were under way lately, %d slots are there", d.peak, in.Slots)
+	case d.peak > roomNeeded*float64(in.Slots), float64(in.Slots) < slotsNeeded*float64(in.OldSlots):
+		d.reason = fmt.Sprintf("waits for workers: %d slots are there, %d of old ones, and up to %.0f requests were under way lately",
+			in.Slots, in.OldSlots, d.peak)
 	default:
 		d.enter(eventShift, in.Now, fmt.Sprintf("serves everything after %d sound answers", answers))
 	}
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -211,7 +211,9 @@
 		in.Now, in.Left, in.Report.UnderWayOld = in.Now.Add(10*time.Second), time.Second, 50
 		in.Slots = 60
 		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseTrial)
-		in.Slots = 90
+		in.Slots, in.OldSlots = 90, 130
+		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseTrial)
+		in.OldSlots = 110
 		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseShift)
 	})
 	Convey("Nothing begins before there are workers of the new version", t, func() {
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -99,7 +99,7 @@
 	}
 	before, left := o.decider.Phase(), end.Sub(now)
 	step := o.decider.Decide(rolling.Inputs{
-		Now: now, Left: left, Report: *seen, VMs: len(g.live()), Slots: g.newSlots(o.service),
+		Now: now, Left: left, Report: *seen, VMs: len(g.live()), Slots: g.usableSlots(o.service, worker.TrackNew), OldSlots: g.usableSlots(o.service, worker.TrackStable),
 	})
 	if step.Phase != before {
 		g.log.Info("rollout: "+step.Phase.String(), "service", o.service, "version", o.name, "reason", step.Reason,
@@ -145,15 +145,16 @@
 	o.reason, o.decides = reason, decides
 }
 
-// newSlots returns the slots of the workers of a new version that can be used.
-func (g *Gateway) newSlots(service string) int {
+// usableSlots returns the slots of the workers of a track that can be used.
+func (g *Gateway) usableSlots(service string, track worker.Track) int {
 	s := g.snapshot.Load()
 	if s == nil {
 		return 0
 	}
 	now, slots := clock.Now(), 0
-	for _, w := range s.Workers.Track(service, worker.TrackNew) {
-		if _, ready := g.loads.Standing(w, now).(worker.Ready); ready && w.New && !g.placer.Cold(s, w) {
+	brought := track == worker.TrackNew
+	for _, w := range s.Workers.Track(service, track) {
+		if _, ready := g.loads.Standing(w, now).(worker.Ready); ready && w.New == brought && !g.placer.Cold(s, w) {
 			slots += w.Slots
 		}
 	}
