gateway: the status of an order is written beside the rounds, through the gate to the store

Found by reading: while the store was away the VM that decides called it twice a round, each 0.3 s, and told nobody anything meanwhile, so that permissions could end while VMs wait for the last word. VMs without an order look for one once a second in place of three times. Measured: TestGoodVersionIsCompleted and TestBadVersionIsRolledBack with the race detector, the store away in one case of each.

--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -23,6 +23,8 @@
 	// rolloutInterval is the time between two rounds in which the VM that decides asks
 	// all others what they have seen; a VM's permission outlasts six.
 	rolloutInterval = 300 * time.Millisecond
+	// orderLook is the time between two looks for an order while there is none.
+	orderLook = time.Second
 	// shiftInterval is the same while a version gets more than its share.
 	shiftInterval = 100 * time.Millisecond
 	// hallTimeout bounds the answer of one VM for its hall, vmTimeout that of a VM there.
@@ -57,7 +59,10 @@
 	forgotten := false
 	for ctx.Err() == nil {
 		if _, known := g.replica.At(kind); known && !g.watches() && !forgotten {
-			sleep(ctx, listTurn)
+			select {
+			case <-ctx.Done():
+			case <-g.askedToWatch():
+			}
 			continue
 		}
 		g.gate.enter(ctx, g.longestWait())
@@ -77,7 +82,11 @@
 		sleep(ctx, wait)
 		wait = rolloutInterval
 		open := g.rollouts.underWay()
-		if len(open) == 0 || !g.Ready() || !g.settled() || !g.controls() {
+		if len(open) == 0 {
+			wait = orderLook
+			continue
+		}
+		if !g.Ready() || !g.settled() || !g.controls() {
 			continue
 		}
 		seen := g.askRollouts(ctx, g.rolloutSteps(open))
@@ -112,14 +121,12 @@
 		g.log.Info("rollout: goes on", "service", o.service, "phase", step.Phase.String(), "reason", step.Reason, "left_ms", left.Milliseconds(),
 			"under_way_old", seen.UnderWayOld, "under_way_new", seen.UnderWayNew, "vms", seen.InPhase(rollout.PhaseOrdered))
 	}
-	if step.Phase == rollout.PhaseCompleted {
-		// The old workers end once it is written; until then all goes on as it was.
-		if !g.writeRollout(ctx, o, step.Phase) {
-			return shiftInterval
-		}
-	} else if step.Phase > rollout.PhaseOrdered && held.Phase != stored(step.Phase) {
+	if step.Phase > rollout.PhaseOrdered && held.Phase != stored(step.Phase) {
 		go g.writeRollout(ctx, o, stored(step.Phase))
 	}
+	if step.Phase == rollout.PhaseCompleted {
+		return shiftInterval // It is so once it is written; until then all goes on as it was.
+	}
 	o.share.Hear(step)
 	switch {
 	case step.Phase != before:
@@ -161,29 +168,34 @@
 	return slots
 }
 
-// writeRollout writes how far an order has come, and reports whether the store has taken
-// it. If anybody else has changed the order, its new state is taken in first.
-func (g *Gateway) writeRollout(ctx context.Context, o *order, phase rollout.Phase) bool {
+// writeRollout writes how far an order has come. If anybody else has changed the order, its
+// new state is taken in, and the next round writes again.
+func (g *Gateway) writeRollout(ctx context.Context, o *order, phase rollout.Phase) {
 	next, fresh := g.rollouts.toWrite(o, phase)
 	if !fresh {
-		return false
+		return
 	}
 	defer g.rollouts.written(o)
 	status, err := g.cfg.Codec.EncodeRollout(next)
 	if err != nil {
 		g.log.Error(err, "rollout: status", "service", next.Service)
-		return false
+		return
 	}
+	g.gate.enter(ctx, longestRetry)
 	revision, err := g.cfg.Store.ReplaceStatus(ctx, g.cfg.Codec.RolloutKind(), next.Service, next.Revision, status)
+	if errors.Is(err, ErrConflict) {
+		g.gate.ended(nil) // The store answers.
+	} else {
+		g.gate.ended(err)
+	}
 	if err != nil {
 		g.log.Info("rollout: status not written", "service", next.Service, "state", phase.String(), "error", err.Error())
 		g.readRollout(ctx, o)
-		return false
+		return
 	}
 	next.Revision = revision
 	g.rollouts.wrote(o, next)
 	g.log.Info("rollout: status written", "service", next.Service, "version", next.Name, "state", phase.String(), "revision", revision)
-	return true
 }
 
 // toWrite returns an order with a phase, and false while another write is under way.
@@ -212,8 +224,12 @@
 func (r *rollouts) wrote(o *order, stored rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stored.Version == o.version && stored.Revision >= o.stored.Revision {
-		o.stored = stored
+	if stored.Version != o.version || stored.Revision < o.stored.Revision {
+		return
+	}
+	o.stored = stored
+	if stored.Phase.Final() {
+		o.share.Hear(rolling.Step{Phase: stored.Phase})
 	}
 }
 
