--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -114,8 +114,6 @@
 	// Slots are those of the new version's workers that can be used, OldSlots those of the
 	// old one's.
 	Slots, OldSlots int
-	// Stopped is set if an operator has stopped the order.
-	Stopped bool
 }
 
 // Step is a decision.
@@ -188,9 +186,6 @@
 	if bad && d.Phase() < rollout.PhaseProved {
 		d.enter(eventRollBack, in.Now, finding.String())
 	}
-	if in.Stopped && !d.Phase().Final() {
-		d.enter(eventRollBack, in.Now, "an operator has stopped it")
-	}
 	drain := d.drainTime(slowest)
 	d.notePeak(in)
 	switch d.Phase() {
