upstream: a connection that is given up with a request under way is reset

Cause: closed as any other, its bytes are the system's to deliver, also seconds later, when a cut heals; then the request runs at a worker of a hall that is closed by then, or beside another one. Ruled out: shorter time-outs of the system (TCP_USER_TIMEOUT is 0.9 s already, for connections that are open). Change: no lingering on connections whose exchange failed or whose caller gave up.

--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -188,4 +188,5 @@
 off rollout-waits-for-all coordination/rollout/decider.go 'case proved < in.VMs:' 'case false:' ./coordination/rollout TestVMsThatAreNotReached
 off rollout-closes coordination/rollout/share.go 's.phase == rollout.PhaseProved && !s.step.Closed' 's.phase == rollout.PhaseProved' ./coordination/rollout TestOldWorkersServe
 off list-read-once internal/gateway/watch.go 'if !known || content == c.listed {' 'if !known {' ./internal/gateway TestListOfVMsIsRead
+off given-up-is-reset transport/upstream/conn.go '_ = tcp.SetLinger(0)' '_ = tcp' ./transport/upstream TestRequestThatWasGivenUp
 exit $missed
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -67,6 +67,16 @@
 	})
 }
 
+// abandon closes a connection with a request under way, and leaves nothing of it for the
+// system to send later: where a hall was cut off, a request that was given up would else
+// reach its worker once the cut has healed.
+func (c *conn) abandon() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // It fails only on a connection that is closed.
+	}
+	c.close()
+}
+
 // rest watches a connection that is put aside.
 func (c *conn) rest(now time.Time) {
 	c.since = now
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	x := &exchange{client: c, conn: conn, worker: w, req: req, sendDone: make(chan struct{})}
-	x.detach = context.AfterFunc(ctx, conn.close)
+	x.detach = context.AfterFunc(ctx, conn.abandon)
 	go x.send()
 	res, err := x.readHead() //nolint:bodyclose // Answer.Close ends the exchange with its connection.
 	if err != nil {
@@ -108,6 +108,7 @@
 }
 
 func (x *exchange) fail(ctx context.Context, err error) error {
+	x.conn.abandon()
 	x.end(false)
 	<-x.sendDone
 	e := &Error{kind: KindBroken, renewed: x.conn.renewed, notRun: !x.given.Load(), step: "read head", worker: x.worker.ID, cause: err}
