--- a/internal/gateway/compile_test.go
+++ b/internal/gateway/compile_test.go
@@ -59,3 +59,19 @@
 		t.Errorf("after one that took a minute a change waits for %s", pause)
 	}
 }
+
+// News is gathered for as long as the time allows within which a change must be in force: the
+// more VMs, the longer their operators allow, and the fewer messages a second each of them
+// gets while workers come and go.
+func TestNewsIsGatheredAsLongAsBoundsAllow(t *testing.T) {
+	const most = 1.0 / 20
+	for _, within := range []time.Duration{time.Second, 2500 * time.Millisecond, 5 * time.Second, 14 * time.Second} {
+		gather := gateway.Gather(within)
+		if part := gather.Seconds() / within.Seconds(); part > most {
+			t.Errorf("news waits for %s where a change must be in force within %s", gather, within)
+		}
+		if twice := gateway.Gather(2 * within); twice != 2*gather {
+			t.Errorf("news waits for %s and %s where a change may take twice as long", gather, twice)
+		}
+	}
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -240,3 +240,10 @@
 
 // PauseAfter is pauseAfter, for tests.
 var PauseAfter = pauseAfter
+
+// Gather returns how long a watcher waits after news, where a change must be in force
+// within a time.
+func Gather(within time.Duration) time.Duration {
+	g := &Gateway{cfg: Config{Bounds: Bounds{ApplyWithin: within}}}
+	return g.gather()
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -28,9 +28,10 @@
 	// firstList is when it is read for the second time: by then the VMs that
 	// started together are in the list of VMs.
 	firstList = time.Second
-	// gather is how long a watcher waits after news before it watches again,
-	// so that changes which come close together cost one call.
-	gather = 100 * time.Millisecond
+	// gatherPart is the part of the time within which a change must be in force that a
+	// watcher waits after news before it watches again. Changes which come close together
+	// cost one call, and each VM of the region one message and one snapshot.
+	gatherPart = 1.0 / 25
 	// afterNews is the hold of a watch that follows one which brought news.
 	// Such a one only shows that the replica was complete when it was asked
 	// for, so the next must not be long in coming.
@@ -137,11 +138,16 @@
 	}
 	g.replica.Confirm(kind, confirmed)
 	if len(events) > 0 {
-		sleep(ctx, gather)
+		sleep(ctx, g.gather())
 	}
 	return len(events) > 0, nil
 }
 
+// gather is how long a watcher waits after news before it watches again.
+func (g *Gateway) gather() time.Duration {
+	return time.Duration(gatherPart * float64(g.cfg.Bounds.ApplyWithin))
+}
+
 // backoff grows with the failures in a row up to a longest wait, and is spread, so
 // that VMs do not come back together.
 func backoff(failures int, longest time.Duration) time.Duration {
