gateway: a VM that leaves tells the nearest 64 others, a few at a time

Requests that came 1.9 and 2.1 s after SIGTERM were cut off with no answer when their VM stopped 2.6 s after it (edge-col-a-51, edge-gal-c-79). Cause, from the VM's log: at SIGTERM it probed all 984 others at once, nearly all over new connections; dials and answers ran out of time, it took itself for frozen, its sessions were too many, and requests that its system had taken in were not served before it closed what it took for idle. It grows with the fleet: 11 probes at 12 VMs. Ruled out: the grace (10 s, not used up), the change of the configuration at 9.9 s (three seconds in which VMs stopped without one show the same lines). Change: own hall first, then its region, 64 at most, 16 at a time; probes tell all others. Measured: TestVMThatLeavesTellsFew.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/ryehill/ryehill/coordination/membership"
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/internal/metrics"
@@ -247,3 +248,8 @@
 	g := &Gateway{cfg: Config{Bounds: Bounds{ApplyWithin: within}}}
 	return g.gather()
 }
+
+// TellsLeaving returns the VMs that one of a hall tells that it leaves.
+func TellsLeaving(members []membership.Member, hall string, regions map[string]string) []membership.Member {
+	return nearest(members, hall, regions, leavingTold)
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/ryehill/ryehill/coordination/membership"
 	"github.com/ryehill/ryehill/internal/clock"
 )
 
@@ -17,6 +20,9 @@
 	acceptPart = 0.25
 	// endMargin is kept between the end of the wait and SIGKILL.
 	endMargin = 300 * time.Millisecond
+	// leavingTold bounds the VMs that one which leaves tells itself, and leavingAtOnce how
+	// many of them at a time.
+	leavingTold, leavingAtOnce = 64, 16
 )
 
 // stop is the planned stop: the VM is no longer ready, leaves the directory of
@@ -27,11 +33,7 @@
 	g.enter("leave")
 	g.members.Leave()
 	g.ingress.Stop()
-	for _, m := range g.members.All() {
-		if m.Usable() {
-			go g.probe(ctx, m)
-		}
-	}
+	go g.tellLeaving(ctx)
 	sleep(ctx, time.Duration(float64(g.cfg.Bounds.Grace)*acceptPart))
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Bounds.Grace-endMargin-clock.Since(begun))
 	defer cancel()
@@ -42,6 +44,42 @@
 	g.log.Info("gateway: stopped", "vm", g.cfg.VM, "took_ms", clock.Since(begun).Milliseconds())
 }
 
+// tellLeaving tells other VMs that this one leaves, the nearest first; these tell all others
+// with their probes. A small VM that told hundreds at once would do nothing else while its
+// last requests come.
+func (g *Gateway) tellLeaving(ctx context.Context) {
+	places := make(chan struct{}, leavingAtOnce)
+	for _, m := range nearest(g.members.All(), g.cfg.Hall, g.cfg.Halls, leavingTold) {
+		places <- struct{}{}
+		go func() {
+			defer func() { <-places }()
+			g.probe(ctx, m)
+		}()
+	}
+}
+
+// nearest returns up to so many usable VMs: those of a hall, then those of its region, then
+// others, each in an order of chance.
+func nearest(members []membership.Member, hall string, regions map[string]string, most int) []membership.Member {
+	var near [3][]membership.Member
+	for _, m := range members {
+		switch {
+		case !m.Usable():
+		case m.Hall == hall:
+			near[0] = append(near[0], m)
+		case regions[m.Hall] == regions[hall]:
+			near[1] = append(near[1], m)
+		default:
+			near[2] = append(near[2], m)
+		}
+	}
+	for _, list := range near {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	all := slices.Concat(near[:]...)
+	return all[:min(len(all), most)]
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
