--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -23,10 +23,10 @@
 	// rolloutInterval is the time between two rounds in which the VM that decides asks
 	// all others what they have seen; a VM's permission outlasts six.
 	rolloutInterval = 300 * time.Millisecond
+	// shiftInterval is the same from the shift on.
+	shiftInterval = 100 * time.Millisecond
 	// orderLook is the time between two looks for an order while there is none.
 	orderLook = time.Second
-	// shiftInterval is the same while a version gets more than its share.
-	shiftInterval = 100 * time.Millisecond
 	// hallTimeout bounds the answer of one VM for its hall, vmTimeout that of a VM there.
 	hallTimeout = 500 * time.Millisecond
 	vmTimeout   = 300 * time.Millisecond
