ingress: reads the rate that workers take from all VMs, and shows it

Nothing asks for it yet. With it the hypotheses can be told apart: whether VMs knew, which ones, and since when.

Which of two answers is newer is settled by when their requests were sent and when they came: a tighter limit holds at once, a looser one only if it is newer for certain.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -411,6 +412,13 @@
 	return rest, err == nil && status == http.StatusServiceUnavailable
 }
 
+func (dialect) RateLimit(h http.Header) (float64, error) {
+	if h.Get("Limit") == "" {
+		return math.Inf(1), nil
+	}
+	return strconv.ParseFloat(h.Get("Limit"), 64)
+}
+
 func (dialect) Refused(res *http.Response) (upstream.Kind, bool) {
 	if res.Header.Get("Not-Run") != "" {
 		return upstream.KindShed, true
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,6 +48,7 @@
 	leaving   *prometheus.CounterVec
 	heldBack  *prometheus.GaugeVec
 	held      prometheus.Gauge
+	limits    *prometheus.CounterVec
 	unused    *prometheus.CounterVec
 	rollout   *prometheus.GaugeVec
 }
@@ -82,6 +83,7 @@
 		heldBack:  gauge(r, "upstreams_held_back", "Upstreams that get nothing for now, or soon, for what they have said of themselves, by state.", "state"),
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
 		leaving:   counter(r, "upstream_leaving_total", "Upstreams that said in an answer to this VM that they leave, by service.", "service"),
+		limits:    counter(r, "upstream_limits_total", "Answers in which upstreams named the rate that they take from all VMs together, by service.", "service"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
 		rollout:   gauge(r, "rollout_phase", "How far a new version of a service has come, from 0 (ordered) over 1 (trial), 2 (shift) and 3 (proved) to 4 (rolled back) or 5 (completed), at the VM that decides.", "service"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
@@ -196,6 +198,9 @@
 // AskedForRest counts a refusal by an upstream that wants nothing from this VM for a time.
 func (s *Set) AskedForRest(service string) { s.rests.WithLabelValues(service).Inc() }
 
+// NamedLimit counts an answer in which an upstream named the rate that it takes.
+func (s *Set) NamedLimit(service string) { s.limits.WithLabelValues(service).Inc() }
+
 // HeldBack sets how many upstreams leave or rest.
 func (s *Set) HeldBack(state string, n int) { s.heldBack.WithLabelValues(state).Set(float64(n)) }
 
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -76,13 +76,14 @@
 	// allowance is how many requests of this VM the worker may have under way after its
 	// rest, 0 for any number.
 	allowance int
+	rate      rateState
 }
 
 // leaves reports whether the worker is known to be about to end.
 func (s *signals) leaves() bool { return !s.leaving.Until.IsZero() }
 
 // Hear takes in a signal, and reports whether it is the first one of its kind that
-// holds. Whatever the order in which signals come, and however often, the same is
+// holds, or, of a limit, whether that begins, changes by much or ends. Whatever the order in which signals come, and however often, the same is
 // believed in the end: the earliest word of leaving binds, since a worker that leaves
 // does not stay, and each rest lasts to its own end, which a shorter one after it does
 // not bring forward.
@@ -99,6 +100,11 @@
 		first = l.hearEnd(s)
 	case Rest:
 		first = l.signals.hearRest(min(s.For, maxRest), l.now())
+	case RateLimit:
+		first = l.signals.rate.hear(s, l.now())
+		if !first && !s.Named() {
+			return false
+		}
 	}
 	l.limits.add(l)
 	return first
@@ -152,5 +158,6 @@
 // held reports whether the signals still matter at a moment, of a worker that has an entry
 // or of one that has none.
 func (s *signals) held(living bool, now time.Time) bool {
-	return s.leaves() && (living || now.Sub(s.leaving.Heard) < leavingKept) || now.Sub(s.awake) < rampFor
+	_, limited := s.rate.rate(now)
+	return (s.leaves() || limited && living) && (living || now.Sub(s.leaving.Heard) < leavingKept) || now.Sub(s.awake) < rampFor
 }
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -66,6 +66,10 @@
 	// Rest returns for how long a worker wants nothing from this VM, by the status
 	// and head of an answer.
 	Rest(status int, h http.Header) (time.Duration, bool)
+	// RateLimit returns the requests a second that a worker takes from all VMs together,
+	// math.Inf(1) if an answer names no limit. An error means that the answer says nothing
+	// of it that can be read.
+	RateLimit(h http.Header) (perS float64, err error)
 }
 
 // Config sets up a Handler. All fields but Retry and those that say
@@ -247,6 +251,8 @@
 	// print is the fingerprint, nil while nobody has asked for it.
 	print *quarantine.Fingerprint
 	tried []string
+	// sent is when the last try was sent.
+	sent time.Time
 	// wait is after what time a worker may get the request, if all of them rest.
 	wait time.Duration
 	// mayHaveRun is set once a worker was given the request and did not say
--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -31,6 +31,11 @@
 	if rest, asked := cfg.Dialect.Rest(status, header); asked {
 		q.hearSignal(c, worker.Rest{For: rest})
 	}
+	if perS, err := cfg.Dialect.RateLimit(header); err != nil {
+		q.note("signal", c.Worker().ID+" names a limit that cannot be read: "+err.Error())
+	} else {
+		q.hearSignal(c, worker.RateLimit{PerS: perS, Sent: q.sent, Heard: cfg.Now(), From: worker.FromAnswer})
+	}
 	return waiting
 }
 
@@ -52,7 +57,24 @@
 		if first {
 			q.logSignal("workers: one asks for rest", w, "for_ms", s.For.Milliseconds())
 		}
+	case worker.RateLimit:
+		if s.Named() {
+			q.note("signal", fmt.Sprintf("%s takes %.1f a second from all VMs", w.ID, s.PerS))
+			metrics.NamedLimit(w.Service)
+		}
+		if first {
+			q.logLimit(w, s)
+		}
+	}
+}
+
+// logLimit writes that a worker begins or ceases to name a limit, or names another one.
+func (q *request) logLimit(w worker.Worker, r worker.RateLimit) {
+	if r.Named() {
+		q.logSignal("workers: one takes a limited rate from all VMs", w, "per_s", r.PerS)
+		return
 	}
+	q.logSignal("workers: one no longer names a limit", w)
 }
 
 // logSignal writes a bounded number of lines on signals.
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -126,7 +126,7 @@
 	defer cancel(nil)
 	versioned := q.sentTo(c)
 	stopWaiting := q.grantPatience(ctx, cancel, number)
-	sent := q.handler.cfg.Now()
+	q.sent = q.handler.cfg.Now()
 	answer, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.outgoing(w.ID))
 	next := stopWaiting()
 	if err != nil {
@@ -145,7 +145,7 @@
 	held.Proved(answer.Opened())
 	held.Outcome(failing(answer.Status()))
 	q.noteAnswer(answer.Status())
-	q.handler.cfg.Demand.Served(w.Service, q.since(sent))
+	q.handler.cfg.Demand.Served(w.Service, q.since(q.sent))
 	if err := q.passOn(answer); err != nil {
 		held.Failed()
 		failed := &failure{cause: retry.CauseBroken, err: err}
