--- a/internal/gateway/signal_workers_test.go
+++ b/internal/gateway/signal_workers_test.go
@@ -27,6 +27,8 @@
 	// asked for, 0 for none.
 	leaving bool
 	rest    time.Duration
+	// limit is the rate that the answer named, below 0 if it named none.
+	limit float64
 }
 
 // signalWorker is a worker that says of itself in its answers that it leaves, or that it
@@ -39,12 +41,13 @@
 	leaving  bool
 	rests    []time.Duration // asked for by chance while there are any
 	away     float64         // the part of the requests that it turns away meanwhile
+	limit    float64         // the rate that it names, below 0 for none
 	arrivals []signalArrival
 }
 
 // signalWorker starts a worker of service s.
 func (f *fleet) signalWorker(id, hall string) *signalWorker {
-	m := &signalWorker{id: id}
+	m := &signalWorker{id: id, limit: -1}
 	s := httptest.NewServer(m)
 	f.t.Cleanup(s.Close)
 	m.address = strings.TrimPrefix(s.URL, "http://")
@@ -63,7 +66,7 @@
 	sent, _ := strconv.ParseInt(r.URL.Query().Get("sent"), 10, 64)
 	a := signalArrival{vm: r.URL.Query().Get("vm"), sent: time.Unix(0, sent), at: time.Now()}
 	m.mu.Lock()
-	a.leaving = m.leaving
+	a.leaving, a.limit = m.leaving, m.limit
 	if len(m.rests) > 0 && rand.Float64() < m.away {
 		a.rest = m.rests[rand.IntN(len(m.rests))]
 	}
@@ -71,6 +74,9 @@
 	if a.leaving {
 		w.Header().Set("Leaving", "1")
 	}
+	if a.limit >= 0 {
+		w.Header().Set("Limit", strconv.FormatFloat(a.limit, 'g', -1, 64))
+	}
 	if a.rest > 0 {
 		w.Header().Set("Not-Run", "1")
 		w.Header().Set("Rest", a.rest.String())
