placement: a worker that names a limit gets what one VM hands out for all

What callers saw: nothing yet; the worker in need did. It had named 3.5 requests a second and got 73 in 4 s, where 26 are allowed, from VMs that it had told.

Cause: the limit in the head of each answer was read by nobody. But a bound that each VM keeps by itself would not do: the limit is meant for all VMs together, and at twelve VMs each one is below it by itself.

What is kept: the limit lives in the record of the worker's life (state/worker). VMs tell each other with the signals that go with every question, answer and probe, so also while the store is away, and to VMs that start. Each request to such a worker needs a permit, whatever way led to it: all ways end in the search of package placement. A permit is handed out by one VM of the worker's region, found by rendezvous hashing over the live ones (coordination/ratelimit, Issuer), at three quarters of the limit, so that the two sides of a cut stay within one and a half times; a VM that sees less than half of its region hands out a small part. Buckets start empty, so a new issuer adds nothing. What gets no permit goes to the next holders of its key that have room, then to other regions within its homes, and else is refused at once with the time at which there is more, each caller a moment of its own. Urgent requests find something reserved.

Ruled out: buckets at each VM (the sum is what counts), and dividing the limit among VMs (a limit of 0.4 among twelve gives each one request in two minutes).

--- a/coordination/placement/eligible.go
+++ b/coordination/placement/eligible.go
@@ -92,7 +92,7 @@
 			paused = append(paused, w)
 		case worker.Spared:
 			spared = append(spared, w)
-		case worker.Ready:
+		case worker.Ready, worker.Limited:
 			e.awake = append(e.awake, w)
 		}
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -74,6 +74,10 @@
 	// RefusalCold means that only cold workers are left and their rate is
 	// used up.
 	RefusalCold Refusal = "cold"
+	// RefusalLimited means that workers which may get the request take a limited rate from
+	// all VMs that is used up, and that the others have no room; Choice.Wait says when there
+	// is more.
+	RefusalLimited Refusal = "limited"
 )
 
 // Snapshot is what is believed at one moment. It is never changed once made.
@@ -111,6 +115,9 @@
 	// use.
 	Track worker.Track
 
+	// Priority is that of the request's route, 0 being the most urgent.
+	Priority int
+
 	// displaced is set if the worker that holds the key rests.
 	displaced bool
 }
@@ -136,6 +143,10 @@
 	// would have been taken. Both are 0 for a cold worker.
 	Busy, Room float64
 	Cold       bool
+	// Limited is set if there was no permit for it, and PerS is the rate in requests a
+	// second that it takes from all VMs.
+	Limited bool
+	PerS    float64
 }
 
 // String describes the worker for a log.
@@ -143,6 +154,9 @@
 	if c.Cold {
 		return c.ID + " in " + c.Region + ": cold, rate used up"
 	}
+	if c.Limited {
+		return fmt.Sprintf("%s in %s: takes %.1f a second from all VMs, used up", c.ID, c.Region, c.PerS)
+	}
 	return fmt.Sprintf("%s in %s: %.1f busy, room below %.1f", c.ID, c.Region, c.Busy, c.Room)
 }
 
@@ -166,7 +180,7 @@
 func (c Choice) Steered() string { return c.steered }
 
 // Wait returns after what time a worker may get the request, if it was refused since one
-// rests, and else 0.
+// rests or takes a limited rate, and else 0.
 func (c Choice) Wait() time.Duration { return c.wait }
 
 // PassedOver describes the worker that would hold the request's key, if it gets nothing
@@ -181,7 +195,7 @@
 func (c Choice) Remote() bool { return c.remote }
 
 // Config sets up a Placer. All fields are required but Holders,
-// Demand and Confirmed.
+// Demand, Confirmed and Permits.
 type Config struct {
 	// Hall and Region are those of this VM.
 	Hall, Region string
@@ -197,6 +211,8 @@
 	// Confirmed returns when the store last confirmed what is known of workers. Nil is
 	// always just now.
 	Confirmed func() time.Time
+	// Permits hands out requests to workers that name a limit. Nil bounds none.
+	Permits Permits
 }
 
 // Placer chooses workers. It is safe for concurrent use.
@@ -213,6 +229,9 @@
 	if cfg.Confirmed == nil {
 		cfg.Confirmed = cfg.Now
 	}
+	if cfg.Permits == nil {
+		cfg.Permits = unbounded{}
+	}
 	return &Placer{cfg: cfg}
 }
 
@@ -247,11 +266,18 @@
 	if refusal == RefusalNone {
 		return choice, refusal
 	}
-	if len(workers.resting) > 0 && refusal != RefusalCold {
-		// Too few are awake there for the keys of those that rest.
+	if refusal == RefusalLimited || len(workers.resting) > 0 && refusal != RefusalCold {
+		// Too few are awake there for the keys of those that rest or take a limited rate.
 		if others := outside(workers.awake, to.region); len(others) > 0 {
-			return p.chooseAt(s, r, others, p.placed(shareOut(p.cfg.Region, s, others, r)))
+			r.displaced = r.displaced || refusal == RefusalLimited
+			elsewhere, refused := p.chooseAt(s, r, others, p.placed(shareOut(p.cfg.Region, s, others, r)))
+			if refused == RefusalNone || refusal != RefusalLimited {
+				return elsewhere, refused
+			}
+			choice.considered = append(choice.considered, elsewhere.considered...)
+			choice.wait = min(choice.wait, displacedWait)
 		}
+		return choice, refusal
 	}
 	if refusal != RefusalCold {
 		return choice, refusal
@@ -288,47 +314,29 @@
 
 // choose takes the first holder of the key in a region while that has room, then
 // the second one if it is nearly idle. Cold workers hold no key yet; they get
-// what their rate allows.
+// what their rate allows, and those that name a limit what there are permits for.
 func (p *Placer) choose(s *Snapshot, r Request, workers []*worker.Worker, region string) (Choice, Refusal) {
-	service, _ := s.Routes.Service(r.Service)
-	refusal, held := RefusalNoWorker, 0
-	rooms := holderRoom[:]
-	if r.displaced {
-		rooms = restRoom[:]
-	}
-	var considered []Considered
 	ranking := p.ranked(r, workers, region)
 	p.handOver(s, r, ranking)
-	for c, ok := ranking.next(); ok; c, ok = ranking.next() {
-		seen := Considered{ID: c.ID, Hall: c.Hall, Region: region, Cold: p.Cold(s, c)}
-		if seen.Cold {
-			considered = append(considered, seen)
-			if p.cfg.Cold.Take(c, service.ColdRate) {
-				return p.take(c, considered), RefusalNone
-			}
-			if held == 0 {
-				refusal = RefusalCold
-			}
-			continue // Another holds the key until this one is warm.
-		}
-		seen.Busy, seen.Room = p.cfg.Loads.Of(c.Life()).Busy(), rooms[held]*float64(c.Slots)
-		considered = append(considered, seen)
-		if seen.Busy < seen.Room {
-			return p.take(c, considered), RefusalNone
-		}
-		refusal = RefusalBusy
-		if held++; held == len(rooms) {
+	search := p.newSearch(s, r)
+	for !search.over() {
+		w, ok := ranking.next()
+		if !ok {
 			break
 		}
+		if search.admits(w, region) {
+			return p.take(w, search.considered), RefusalNone
+		}
 	}
-	return Choice{considered: considered}, refusal
+	return Choice{considered: search.considered, wait: search.wait}, search.refusal()
 }
 
 // Room reports whether any warm worker in the VM's region that may get the
-// request has a free slot, whether it holds the request's key or not.
+// request has a free slot and no limit, whether it holds the request's key or not.
 func (p *Placer) Room(s *Snapshot, r Request) bool {
 	return slices.ContainsFunc(p.eligible(s, r).awake, func(w *worker.Worker) bool {
-		return w.Region == p.cfg.Region && !p.Cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
+		_, limited := p.cfg.Loads.RateLimit(w)
+		return w.Region == p.cfg.Region && !limited && !p.Cold(s, w) && p.cfg.Loads.Of(w.Life()).Busy() < float64(w.Slots)
 	})
 }
 
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -34,10 +34,7 @@
 func newFixture(counts map[string]int, change func(*worker.Worker)) *fixture {
 	f := &fixture{clock: clockwork.NewFakeClock()}
 	f.loads = worker.NewLoads(f.clock.Now)
-	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: alone{}, Now: f.clock.Now})
-	f.placer = placement.New(placement.Config{
-		Hall: "north-a", Region: "north", Loads: f.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: "north-a"}), Now: f.clock.Now,
-	})
+	f.permitBy(nil)
 	var workers []worker.Worker
 	for region, n := range counts {
 		for i := range n {
@@ -55,6 +52,15 @@
 	return f
 }
 
+// permitBy makes the VM ask for permits, nil being one that needs none.
+func (f *fixture) permitBy(p placement.Permits) {
+	cold := placement.NewCold(placement.ColdConfig{VM: "vm", Region: "north", Peers: alone{}, Now: f.clock.Now})
+	f.placer = placement.New(placement.Config{
+		Hall: "north-a", Region: "north", Loads: f.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: "north-a"}), Now: f.clock.Now,
+		Permits: p,
+	})
+}
+
 func request(key uint64) placement.Request {
 	return placement.Request{Service: "read", Key: key, Keyed: true}
 }
--- /dev/null
+++ b/coordination/ratelimit/issuer_test.go
@@ -0,0 +1,117 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ryehill/ryehill/coordination/ratelimit"
+)
+
+// A worker gets no more in 4 s than one and a half times its limit and five: also while a cut
+// gives it two issuers, while VMs see less than half of the others, and while issuers start
+// again or change.
+func TestIssuersStayWithinTheLimit(t *testing.T) {
+	const window, listed = 4 * time.Second, 12
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		clock := func() time.Time { return now }
+		perS := rapid.SampledFrom([]float64{0, 0.4, 3, 30}).Draw(t, "limit")
+		issuers := make([]*ratelimit.Issuer, listed)
+		for i := range issuers {
+			issuers[i] = ratelimit.NewIssuer(clock)
+		}
+		live := func(int) int { return listed }
+		asked := []int{0}
+		happens := rapid.SampledFrom([]string{"calm", "halves", "all alone", "issuers change"}).Draw(t, "what happens")
+		switch happens {
+		case "halves":
+			asked, live = []int{0, 6}, func(int) int { return listed / 2 }
+		case "all alone":
+			asked, live = []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, func(int) int { return 1 }
+		case "issuers change":
+			asked = nil
+		}
+		var ran []time.Time
+		for step := range 1200 {
+			now = now.Add(10 * time.Millisecond)
+			vms := asked
+			if vms == nil {
+				vms = []int{step / 150 % 2}
+				if step%150 == 0 {
+					issuers[vms[0]] = ratelimit.NewIssuer(clock)
+				}
+			}
+			for _, vm := range vms {
+				g := issuers[vm].Issue(ratelimit.Demand{Life: "w", PerS: perS, Live: live(vm), Listed: listed, Requests: 3})
+				for range g.Requests {
+					ran = append(ran, now)
+				}
+			}
+		}
+		for i, last := range ran {
+			n := 0
+			for _, at := range ran[:i+1] {
+				if at.After(last.Add(-window)) {
+					n++
+				}
+			}
+			if allowed := 1.5*perS*window.Seconds() + 5; float64(n) > allowed {
+				t.Fatalf("%d requests in %s, %.1f allowed", n, window, allowed)
+			}
+		}
+		if len(ran) == 0 && happens == "calm" {
+			t.Fatal("nothing ran, so that nobody would hear of an end")
+		}
+	})
+}
+
+// Urgent requests go first, those that are denied are told different moments, and most of
+// the limit is used.
+func TestIssuerServesUrgentRequestsFirst(t *testing.T) {
+	const limit, span = 4.0, 30 * time.Second
+	cases := map[string]struct {
+		urgentEvery, otherEvery int // steps of 10 ms
+		urgentPart, otherPart   float64
+	}{
+		"urgent ones use it up":  {20, 20, 0.9, 0},
+		"urgent ones leave some": {100, 10, 0.9, 0.4},
+		"no urgent ones":         {0, 20, 0, 0.5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			issuer := ratelimit.NewIssuer(func() time.Time { return now })
+			var asked, got [2]float64
+			last := time.Duration(-1)
+			for step := 1; now.Sub(time.Unix(0, 0)) < span; step++ {
+				now = now.Add(10 * time.Millisecond)
+				for priority, every := range []int{c.urgentEvery, c.otherEvery} {
+					if every == 0 || step%every != 0 {
+						continue
+					}
+					g := issuer.Issue(ratelimit.Demand{Life: "w", PerS: limit, Live: 1, Listed: 1, Priority: priority, Requests: 1})
+					asked[priority]++
+					got[priority] += float64(g.Requests)
+					if g.Requests == 0 && (g.Wait <= 0 || g.Wait > time.Second) {
+						t.Fatalf("denied for %s", g.Wait)
+					}
+					last = max(last, g.Wait)
+				}
+			}
+			if c.urgentEvery > 0 && got[0] < c.urgentPart*min(asked[0], 0.75*limit*span.Seconds()) {
+				t.Errorf("%.0f of %.0f urgent requests pass", got[0], asked[0])
+			}
+			if got[1] < c.otherPart*asked[1]*min(1, 0.75*limit*span.Seconds()/(asked[0]+asked[1])) {
+				t.Errorf("%.0f of %.0f others pass", got[1], asked[1])
+			}
+			if used := (got[0] + got[1]) / (limit * span.Seconds()); used < 0.7 {
+				t.Errorf("%.2f of the limit is used", used)
+			}
+		})
+	}
+}
--- a/coordination/ratelimit/pool.go
+++ b/coordination/ratelimit/pool.go
@@ -59,28 +59,33 @@
 type pooled struct {
 	bucket
 	limit workspace.Limit
-	// promised is up to when what comes is promised to requests that were refused.
+	turns
+}
+
+// turns are the moments at which requests that were refused may come back.
+type turns struct {
+	// promised is up to when what comes is promised to them.
 	promised time.Time
 }
 
-// turn returns after what time the next request that is refused may come back: each
+// next returns after what time the next request that is refused may come back: each
 // gets a moment of its own, at the pace at which requests may run. Clients come back
 // once, so one that is told the same moment as all others is refused for good. Of the
 // requests of the two seconds after 74 VMs had lost power, 833 and 528 were refused for
 // good on two days, and 1,069 and 792 while each was told when the next token comes.
-func (b *pooled) turn(f flow, now time.Time, longest time.Duration) time.Duration {
+func (t *turns) next(f flow, now time.Time, longest time.Duration) time.Duration {
 	if f.rate <= 0 {
 		return longest
 	}
-	if b.promised.Before(now) {
-		b.promised = now
+	if t.promised.Before(now) {
+		t.promised = now
 	}
-	if latest := now.Add(longest); b.promised.After(latest) {
-		b.promised = latest
+	if latest := now.Add(longest); t.promised.After(latest) {
+		t.promised = latest
 		return longest
 	}
-	b.promised = b.promised.Add(time.Duration(float64(time.Second) / f.rate))
-	return min(b.promised.Sub(now), longest)
+	t.promised = t.promised.Add(time.Duration(float64(time.Second) / f.rate))
+	return min(t.promised.Sub(now), longest)
 }
 
 // NewPool returns a pool that was lent nothing.
@@ -139,7 +144,7 @@
 	b.fill(f, now)
 	g := Grant{Requests: b.take(most)}
 	for range most - g.Requests {
-		g.Wait = b.turn(f, now, p.bounds.Window)
+		g.Wait = b.next(f, now, p.bounds.Window)
 	}
 	return g
 }
--- a/coordination/ratelimit/ratelimit.go
+++ b/coordination/ratelimit/ratelimit.go
@@ -1,8 +1,9 @@
 // Copyright 2026 The ryehill Authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package ratelimit bounds what each workspace has run at all VMs together, in
-// every window of time, whichever VMs can talk to each other.
+// Package ratelimit bounds what each workspace has run, and what each worker that names a
+// limit gets, at all VMs together, in every window of time, whichever VMs can talk to each
+// other.
 //
 // A VM that is cut off must not pass its part, so a workspace's allowance of a
 // window is divided among the VMs that are listed. The larger part of each piece is
@@ -13,6 +14,10 @@
 // to be agreed on, and nothing is kept. Every part is a token bucket that starts
 // empty, so a VM that starts again adds nothing to what its earlier life let run.
 //
+// An Issuer bounds in the same way what all VMs together send to a worker that names a
+// limit of its own. That is too small to be divided, so one VM of the worker's region hands
+// out all of it, request by request.
+//
 // The package does no I/O.
 //
 // # Usage
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 	relayed   *relayed
 	gate      *gate
 	quotas    *quotas
+	permits   *permits
 	rollouts  *rollouts
 	// unused are the store's entries that cannot be used.
 	unused *unused
@@ -149,9 +150,10 @@
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
 	cold := placement.NewCold(placement.ColdConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: clock.Now})
 	g.balancer = newBalancer(g.region())
+	g.permits = newPermits(g)
 	g.placer = placement.New(placement.Config{
 		Hall: cfg.Hall, Region: g.region(), Loads: g.loads, Cold: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: clock.Now,
-		Holders: g.balancer.table, Demand: g.balancer.meter,
+		Holders: g.balancer.table, Demand: g.balancer.meter, Permits: g.permits,
 		Confirmed: func() time.Time { return g.replica.Confirmed(cfg.Codec.WorkerKind()) },
 	})
 	g.quotas = newQuotas(g)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,6 +140,8 @@
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Balanced{Balanced: g.balanced(from, k.Balance)}}
 	case *peerpb.Envelope_Allow:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Allowed{Allowed: g.allowed(from.VM, k.Allow)}}
+	case *peerpb.Envelope_PermitDemand:
+		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_Permits{Permits: g.permits.answer(from.VM, k.PermitDemand)}}
 	case *peerpb.Envelope_HangUps:
 		reply = &peerpb.Envelope{Kind: &peerpb.Envelope_QuarantineTaken{QuarantineTaken: g.hearHangUps(from.VM, k.HangUps)}}
 	case *peerpb.Envelope_Quarantine:
--- /dev/null
+++ b/internal/gateway/permits.go
@@ -0,0 +1,226 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/coordination/assign"
+	"github.com/ryehill/ryehill/coordination/ratelimit"
+	"github.com/ryehill/ryehill/internal/clock"
+	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/peer"
+)
+
+const (
+	// permitTimeout bounds a question for permits: a request waits for it.
+	permitTimeout = 150 * time.Millisecond
+	// permitWindow is the longest time after which a denied request is told to come back.
+	permitWindow = time.Second
+	// noIssuerWait is the same if there is no VM to ask.
+	noIssuerWait = 200 * time.Millisecond
+	// maxPermitLives bounds the workers of one question, and maxPermitsWanted the requests
+	// to one of them.
+	maxPermitLives   = 1024
+	maxPermitsWanted = 1 << 12
+	// maxBorrowers bounds the issuers and priorities for which questions are gathered.
+	maxBorrowers = 4096
+)
+
+// Results of a wanted permit.
+const (
+	permitGranted = "granted"
+	permitDenied  = "denied"
+)
+
+// issuerKey is whom permits of one priority are asked of.
+type issuerKey struct {
+	vm       string
+	priority int
+}
+
+// permits implements placement.Permits: each worker that names a limit has one VM that
+// hands out what it takes from all. It is safe for concurrent use.
+type permits struct {
+	gateway *Gateway
+	issuer  *ratelimit.Issuer
+	// avoided are the VMs that did not answer as issuers.
+	avoided *avoided
+
+	mu        sync.Mutex
+	borrowers map[issuerKey]*ratelimit.Borrower
+}
+
+func newPermits(g *Gateway) *permits {
+	return &permits{
+		gateway: g, issuer: ratelimit.NewIssuer(clock.Now), avoided: newAvoided(),
+		borrowers: make(map[issuerKey]*ratelimit.Borrower),
+	}
+}
+
+// Take implements placement.Permits.
+func (p *permits) Take(w *worker.Worker, perS float64, priority int) (wait time.Duration, ok bool) {
+	vm, found := p.issuerOf(w)
+	switch {
+	case !found:
+		wait = noIssuerWait
+	case vm == p.gateway.cfg.VM:
+		grant := p.issue(w, perS, priority, 1)
+		wait, ok = grant.Wait, grant.Requests > 0
+	default:
+		wait, ok = p.borrower(issuerKey{vm, priority}).Take(context.Background(), w.Life())
+	}
+	result := permitDenied
+	if ok {
+		result = permitGranted
+	}
+	p.gateway.cfg.Metrics.Permit(w.Service, result)
+	return wait, ok
+}
+
+// issuerOf returns the VM that hands out what a worker takes: one of its region, or any if
+// none of that is live. A VM that has just started knows of none.
+func (p *permits) issuerOf(w *worker.Worker) (vm string, found bool) {
+	now := clock.Now()
+	live := p.live(w.Region, now)
+	if len(live) == 0 {
+		for _, region := range p.gateway.regions() {
+			live = append(live, p.live(region, now)...)
+		}
+	}
+	first := assign.Top(w.Life(), live, 1)
+	if len(first) == 0 {
+		return "", false
+	}
+	return first[0], true
+}
+
+// live returns the live VMs of a region that are not avoided.
+func (p *permits) live(region string, now time.Time) []string {
+	ids, _ := p.gateway.Live(region)
+	return slices.DeleteFunc(ids, func(id string) bool { return p.avoided.has(id, now) })
+}
+
+// issue hands out requests of this VM's own part.
+func (p *permits) issue(w *worker.Worker, perS float64, priority, wanted int) ratelimit.Grant {
+	live, listed := p.gateway.Live(w.Region)
+	if listed == 0 {
+		return ratelimit.Grant{Wait: noIssuerWait}
+	}
+	return p.issuer.Issue(ratelimit.Demand{
+		Life: w.Life(), PerS: perS, Live: len(live), Listed: listed, Priority: priority, Requests: wanted,
+	})
+}
+
+// borrower returns what gathers the questions to a VM.
+func (p *permits) borrower(key issuerKey) *ratelimit.Borrower {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, ok := p.borrowers[key]
+	if !ok {
+		if len(p.borrowers) >= maxBorrowers {
+			clear(p.borrowers)
+		}
+		b = ratelimit.NewBorrower(ratelimit.BorrowerConfig{
+			Ask: func(want ratelimit.Want) (ratelimit.Granted, error) { return p.ask(key, want) }, Window: permitWindow, Now: clock.Now,
+		})
+		p.borrowers[key] = b
+	}
+	return b
+}
+
+// ask asks another VM for requests to workers, by their lives.
+func (p *permits) ask(key issuerKey, want ratelimit.Want) (ratelimit.Granted, error) {
+	g := p.gateway
+	m, known := g.members.Member(key.vm)
+	if !known {
+		return nil, errors.Newf("permits: %s is not known any more", key.vm)
+	}
+	demand := &peerpb.PermitDemand{Priority: uint32(key.priority), Signals: p.toldLimits(want)}
+	for life, n := range want {
+		if len(demand.GetLives()) == maxPermitLives {
+			break
+		}
+		demand.Lives, demand.Wanted = append(demand.GetLives(), life), append(demand.GetWanted(), uint32(min(n, maxPermitsWanted)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	defer cancel()
+	reply, err := g.peers.Call(ctx, peer.Target{VM: m.ID, Address: m.Peer}, &peerpb.Envelope{Kind: &peerpb.Envelope_PermitDemand{PermitDemand: demand}})
+	g.cfg.Metrics.PeerCall("permits", err)
+	answer := reply.GetPermits()
+	if err == nil && (len(answer.GetGranted()) != len(demand.GetLives()) || len(answer.GetWaitMillis()) != len(demand.GetLives())) {
+		err = errors.Newf("permits: %s answers something else", m.ID)
+	}
+	if err != nil {
+		p.avoided.add(m.ID, clock.Now())
+		g.log.Info("permits: the VM that hands them out does not answer", "peer", m.ID, "error", err.Error())
+		return nil, err
+	}
+	g.hearSignals(m.ID, answer.GetSignals())
+	granted := make(ratelimit.Granted, len(want))
+	for i, life := range demand.GetLives() {
+		granted[life] = ratelimit.Grant{
+			Requests: int(answer.GetGranted()[i]),
+			Wait:     min(time.Duration(answer.GetWaitMillis()[i])*time.Millisecond, permitWindow),
+		}
+	}
+	return granted, nil
+}
+
+// toldLimits returns what is known of the limits of some workers.
+func (p *permits) toldLimits(want ratelimit.Want) map[string]*peerpb.WorkerSignals {
+	now, limited := clock.Now(), p.gateway.loads.Limited()
+	told := make(map[string]*peerpb.WorkerSignals, len(want))
+	for life := range want {
+		if load, ok := limited[life]; ok && len(told) < maxSignals {
+			told[life] = toldLimit(now, load.RateLimit())
+		}
+	}
+	return told
+}
+
+// answer hands out requests to another VM.
+func (p *permits) answer(from string, demand *peerpb.PermitDemand) *peerpb.Permits {
+	g := p.gateway
+	g.hearSignals(from, demand.GetSignals())
+	lives, wanted := demand.GetLives(), demand.GetWanted()
+	lives = lives[:min(len(lives), len(wanted), maxPermitLives)]
+	answer, want := &peerpb.Permits{}, make(ratelimit.Want, len(lives))
+	for i, life := range lives {
+		n := int(min(wanted[i], maxPermitsWanted))
+		grant := p.issueLife(life, int(min(demand.GetPriority(), maxPriority)), n)
+		answer.Granted = append(answer.Granted, uint32(grant.Requests))
+		answer.WaitMillis = append(answer.WaitMillis, uint32(grant.Wait.Milliseconds()))
+		want[life] = n
+	}
+	answer.Signals = p.toldLimits(want)
+	return answer
+}
+
+// maxPriority bounds the priority of a question.
+const maxPriority = 1 << 10
+
+// issueLife hands out requests to a worker by the limit that this VM knows. One that names
+// none takes all.
+func (p *permits) issueLife(life string, priority, wanted int) ratelimit.Grant {
+	s := p.gateway.snapshot.Load()
+	if s == nil {
+		return ratelimit.Grant{Wait: noIssuerWait}
+	}
+	w, ok := s.Workers.Life(life)
+	if !ok {
+		return ratelimit.Grant{Wait: noIssuerWait}
+	}
+	perS, limited := p.gateway.loads.RateLimit(w)
+	if !limited {
+		return ratelimit.Grant{Requests: wanted}
+	}
+	return p.issue(w, perS, priority, wanted)
+}
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -42,7 +43,7 @@
 		if !ok {
 			continue
 		}
-		var message peerpb.WorkerSignals
+		message := toldLimit(now, signals.RateLimit)
 		if leaving := signals.Leaving; !leaving.Until.IsZero() && !w.Leaving {
 			// Never less than it is, so that a word which comes back binds no earlier.
 			message.LeavingMillis = millis(max(leaving.Until.Sub(now)+time.Millisecond, 0))
@@ -51,8 +52,8 @@
 			message.EndedMillis, message.ReturnedMillis = sinceMillis(now, ended.At), sinceMillis(now, ended.Returned)
 			message.LivedFromMillis, message.LivedToMillis = sinceMillis(now, ended.Lived.From), sinceMillis(now, ended.Lived.To)
 		}
-		if message.LeavingMillis != nil || message.EndedMillis != nil || message.LivedToMillis != nil {
-			told[life] = &message
+		if message.LeavingMillis != nil || message.EndedMillis != nil || message.LivedToMillis != nil || message.LimitPerS != nil {
+			told[life] = message
 		}
 	}
 	return told
@@ -105,6 +106,28 @@
 		if ended != (worker.Ended{}) {
 			g.loads.Of(life).Hear(ended)
 		}
+		g.hearLimit(now, from, w, message)
+	}
+}
+
+// toldLimit returns a message that tells a limit, or nothing if there is none to tell.
+func toldLimit(now time.Time, r worker.RateLimit) *peerpb.WorkerSignals {
+	if r.Heard.IsZero() {
+		return &peerpb.WorkerSignals{}
+	}
+	return &peerpb.WorkerSignals{LimitPerS: &r.PerS, LimitSentMillis: *sinceMillis(now, r.Sent), LimitHeardMillis: *sinceMillis(now, r.Heard)}
+}
+
+// hearLimit takes in the limit that a worker has named to another VM, if the message tells one.
+func (g *Gateway) hearLimit(now time.Time, from string, w *worker.Worker, message *peerpb.WorkerSignals) {
+	perS := message.GetLimitPerS()
+	if message.LimitPerS == nil || math.IsNaN(perS) || perS < 0 {
+		return
+	}
+	sent, heard := message.GetLimitSentMillis(), message.GetLimitHeardMillis()
+	limit := worker.RateLimit{PerS: perS, Sent: before(now, &sent), Heard: before(now, &heard), From: from}
+	if g.loads.Of(w.Life()).Hear(limit) {
+		g.log.V(1).Info("workers: another VM tells of a limit", "worker", w.ID, "peer", from, "named", limit.Named(), "per_s", perS)
 	}
 }
 
@@ -112,13 +135,14 @@
 const (
 	stateLeaving = "leaving"
 	stateResting = "resting"
+	stateLimited = "limited"
 )
 
 // maxHeldBack bounds the workers that operators are shown as held back.
 const maxHeldBack = 100
 
 // mayBeHeldBack returns the workers that leave by the store's word, or that this VM knows
-// anything against: the few of all that may leave or rest.
+// anything against: the few of all that may leave, rest or name a limit.
 func (g *Gateway) mayBeHeldBack(s *placement.Snapshot) map[string]*worker.Worker {
 	workers := make(map[string]*worker.Worker)
 	for _, w := range s.Workers.Leaving() {
@@ -132,7 +156,7 @@
 	return workers
 }
 
-// heldBack returns workers that leave or rest, for operators, in the order of their ids.
+// heldBack returns workers that leave, rest or name a limit, for operators, in the order of their ids.
 func (g *Gateway) heldBack() []operator.HeldBackWorker {
 	s := g.snapshot.Load()
 	if s == nil {
@@ -144,9 +168,7 @@
 		h := operator.HeldBackWorker{Worker: w.ID, Service: w.Service, Hall: w.Hall}
 		if leaving, leaves := g.loads.Leaving(w); leaves {
 			h.State, h.From, h.LeftMillis = stateLeaving, leaving.From, max(leaving.Until.Sub(now), 0).Milliseconds()
-		} else if resting, rests := g.loads.Standing(w, now).(worker.Resting); rests {
-			h.State, h.From, h.LeftMillis = stateResting, worker.FromAnswer, max(resting.Until.Sub(now), 0).Milliseconds()
-		} else {
+		} else if !showStanding(&h, g.loads.Standing(w, now), now) {
 			continue
 		}
 		shown = append(shown, h)
@@ -155,13 +177,26 @@
 	return shown
 }
 
-// tellHeldBack counts the workers that leave or rest for the metrics.
+// showStanding fills in why a worker is held back, if it rests or names a limit.
+func showStanding(h *operator.HeldBackWorker, standing worker.Standing, now time.Time) bool {
+	switch s := standing.(type) {
+	case worker.Resting:
+		h.State, h.From, h.LeftMillis = stateResting, worker.FromAnswer, max(s.Until.Sub(now), 0).Milliseconds()
+	case worker.Limited:
+		h.State, h.From, h.PerS, h.SinceMillis = stateLimited, s.From, s.PerS, now.Sub(s.Since).Milliseconds()
+	default:
+		return false
+	}
+	return true
+}
+
+// tellHeldBack counts the workers that leave, rest or name a limit for the metrics.
 func (g *Gateway) tellHeldBack() {
 	counts := make(map[string]int)
 	for _, h := range g.heldBack() {
 		counts[h.State]++
 	}
-	for _, state := range []string{stateLeaving, stateResting} {
+	for _, state := range []string{stateLeaving, stateResting, stateLimited} {
 		g.cfg.Metrics.HeldBack(state, counts[state])
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,6 +49,7 @@
 	heldBack  *prometheus.GaugeVec
 	held      prometheus.Gauge
 	limits    *prometheus.CounterVec
+	permits   *prometheus.CounterVec
 	unused    *prometheus.CounterVec
 	rollout   *prometheus.GaugeVec
 }
@@ -84,6 +85,7 @@
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
 		leaving:   counter(r, "upstream_leaving_total", "Upstreams that said in an answer to this VM that they leave, by service.", "service"),
 		limits:    counter(r, "upstream_limits_total", "Answers in which upstreams named the rate that they take from all VMs together, by service.", "service"),
+		permits:   counter(r, "upstream_permits_total", "Permits that this VM wanted for requests to upstreams that name a limit, by service and result.", "service", "result"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
 		rollout:   gauge(r, "rollout_phase", "How far a new version of a service has come, from 0 (ordered) over 1 (trial), 2 (shift) and 3 (proved) to 4 (rolled back) or 5 (completed), at the VM that decides.", "service"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
@@ -201,6 +203,9 @@
 // NamedLimit counts an answer in which an upstream named the rate that it takes.
 func (s *Set) NamedLimit(service string) { s.limits.WithLabelValues(service).Inc() }
 
+// Permit counts a permit that was wanted for a request to an upstream that names a limit.
+func (s *Set) Permit(service, result string) { s.permits.WithLabelValues(service, result).Inc() }
+
 // HeldBack sets how many upstreams leave or rest.
 func (s *Set) HeldBack(state string, n int) { s.heldBack.WithLabelValues(state).Set(float64(n)) }
 
--- a/state/worker/ratelimit.go
+++ b/state/worker/ratelimit.go
@@ -18,6 +18,8 @@
 	// relayMargin is how much older than it seems a looser limit is taken to be that another
 	// VM has told: its age does not count its way.
 	relayMargin = 200 * time.Millisecond
+	// endToldFor is for how long VMs tell each other that a worker names no limit any more.
+	endToldFor = 10 * time.Second
 )
 
 // RateLimit is what a worker says in an answer of the rate that it takes from all VMs
@@ -55,12 +57,11 @@
 	if !held.Named() && !r.Named() || !r.Heard.After(held.Sent) {
 		return false
 	}
-	same := r.Named() && held.Named() && r.PerS == held.PerS
 	switch {
-	case same:
-		s.last.Sent, s.last.Heard = later(held.Sent, r.Sent), later(held.Heard, r.Heard)
+	case held.Named() && r.PerS == held.PerS:
+		s.refresh(r)
 		return false
-	case !r.Sent.After(held.Heard) && held.Named() && r.PerS > held.PerS:
+	case held.Named() && r.PerS > held.PerS && !r.certain().After(held.Heard):
 		return false
 	}
 	s.last = r
@@ -73,6 +74,27 @@
 	return r.Named() != held.Named() || muchApart(r.PerS, held.PerS)
 }
 
+// refresh takes in a limit that is known already.
+func (s *rateState) refresh(r RateLimit) {
+	if r.From != FromAnswer && r.Heard.Before(s.last.Heard.Add(sameEnd)) {
+		return
+	}
+	s.last.Sent, s.last.Heard = later(s.last.Sent, r.Sent), later(s.last.Heard, r.Heard)
+}
+
+// certain returns the moment after which the answer was made for certain.
+func (r RateLimit) certain() time.Time {
+	if r.From == FromAnswer {
+		return r.Sent
+	}
+	return r.Sent.Add(-relayMargin)
+}
+
+// tells reports whether other VMs are to be told.
+func (s *rateState) tells(now time.Time) bool {
+	return s.last.Named() || now.Sub(s.last.Heard) < endToldFor
+}
+
 // muchApart reports whether one rate is more than half as much again as the other.
 func muchApart(a, b float64) bool {
 	const much = 1.5
@@ -99,3 +121,22 @@
 	}
 	return max(s.before, leastRamp) * math.Exp2(max(steps, 0)), true
 }
+
+// RateLimit returns the rate, in requests a second, that all VMs together may send to a
+// worker now, if it is bounded.
+func (l *Loads) RateLimit(w *Worker) (perS float64, limited bool) {
+	load, held := l.Limited()[w.Life()]
+	if !held {
+		return 0, false
+	}
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	return load.signals.rate.rate(load.now())
+}
+
+// RateLimit returns what the worker has last said of its limit.
+func (l *Load) RateLimit() RateLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signals.rate.last
+}
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -158,6 +158,5 @@
 // held reports whether the signals still matter at a moment, of a worker that has an entry
 // or of one that has none.
 func (s *signals) held(living bool, now time.Time) bool {
-	_, limited := s.rate.rate(now)
-	return (s.leaves() || limited && living) && (living || now.Sub(s.leaving.Heard) < leavingKept) || now.Sub(s.awake) < rampFor
+	return s.leaves() && (living || now.Sub(s.leaving.Heard) < leavingKept) || now.Sub(s.awake) < rampFor || living && s.rate.tells(now)
 }
--- a/state/worker/standing.go
+++ b/state/worker/standing.go
@@ -25,11 +25,22 @@
 // Spared is a worker that fails too much. It gets requests if too many are spared.
 type Spared struct{ Until time.Time }
 
+// Limited is a worker that takes a limited rate from all VMs together. Each request to it
+// needs a permit.
+type Limited struct {
+	// PerS is the rate in requests a second, From who has last told of it, and Since when
+	// this VM first knew of a limit.
+	PerS  float64
+	From  string
+	Since time.Time
+}
+
 func (Ready) isStanding()   {}
 func (Left) isStanding()    {}
 func (Resting) isStanding() {}
 func (Paused) isStanding()  {}
 func (Spared) isStanding()  {}
+func (Limited) isStanding() {}
 
 // Standings tells the standings of many workers. It looks up once what Loads.Standing looks
 // up for each.
@@ -70,6 +81,10 @@
 	case now.Before(l.sparedTo):
 		return Spared{l.sparedTo}
 	}
+	rate := &l.signals.rate
+	if perS, limited := rate.rate(now); limited {
+		return Limited{PerS: perS, From: rate.last.From, Since: rate.since}
+	}
 	return Ready{}
 }
 
@@ -102,6 +117,8 @@
 	Leaving Leaving
 	// Ended says when its process seemed to have ended.
 	Ended Ended
+	// RateLimit is the limit that it last named, or that it names none any more.
+	RateLimit RateLimit
 }
 
 // Told returns, by life, the signals that VMs tell each other.
@@ -133,5 +150,9 @@
 	if l.now().Sub(l.lived.To) < maxColdStart {
 		t.Ended.Lived = l.lived
 	}
-	return t, l.signals.leaves() || t.Ended != Ended{}
+	limited := l.signals.rate.tells(l.now())
+	if limited {
+		t.RateLimit = l.signals.rate.last
+	}
+	return t, limited || l.signals.leaves() || t.Ended != Ended{}
 }
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -98,7 +98,7 @@
 func (q *request) placement() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
-		Allows: q.allowsRegion, Tried: q.tried, Track: q.track,
+		Allows: q.allowsRegion, Tried: q.tried, Track: q.track, Priority: q.route.Priority,
 	}
 }
 
--- a/transport/operator/status.go
+++ b/transport/operator/status.go
@@ -44,17 +44,21 @@
 	HeldBack []HeldBackWorker `json:"held_back,omitempty"`
 }
 
-// HeldBackWorker is a worker that leaves or rests.
+// HeldBackWorker is a worker that leaves, rests or names a limit.
 type HeldBackWorker struct {
 	Worker  string `json:"worker"`
 	Service string `json:"service"`
 	Hall    string `json:"hall"`
-	// State is leaving or resting, From who has said so: its answer, the store or a VM.
+	// State is leaving, resting or limited, From who has said so: its answer, the store or a VM.
 	State string `json:"state"`
 	From  string `json:"from"`
 	// LeftMillis is how long it may get requests still if it leaves, and for how long it
 	// gets none if it rests.
 	LeftMillis int64 `json:"left_ms"`
+	// PerS is the rate in requests a second that it takes from all VMs if it is limited, and
+	// SinceMillis for how long the VM has known of a limit.
+	PerS        float64 `json:"per_s,omitempty"`
+	SinceMillis int64   `json:"since_ms,omitempty"`
 }
 
 // UnusedEntry is an entry of the store that is not used, and why.
