gateway: only the VM that takes itself for the issuer hands out permits

Cause: a VM that got no answer within 150 ms avoided the one that hands out permits for 3 s and asked the next one, which handed out the whole limit as well. Over 35 ms the first question takes 210 ms (connect, greet, ask), and the call that ran out of time dropped the session, so that the next one began anew; each VM ended with whichever other it had a connection with.

Now an asker never passes over a VM that is live by membership, and a VM hands out only if it takes itself for the one by its own view. The request waits for 150 ms at most, as before, but the question goes on for as long as any call to a peer, so the connection stands for the next one. Price: while such a VM is gone and not yet known to be, its workers get nothing, and their requests go to others.

--- a/internal/gateway/longways_test.go
+++ b/internal/gateway/longways_test.go
@@ -94,8 +94,7 @@
 	return c.Conn.Close()
 }
 
-// VMs that are far from each other all hand out the limit of a worker: the first question to
-// the one that is to do so takes longer than a request may wait, and they turn to another.
+// VMs that do not get an answer in time must not all hand out the limit of one worker.
 func TestLimitOverLongWays(t *testing.T) {
 	const limit = 3.5
 	f := newFleet(t)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +19,9 @@
 )
 
 const (
-	// permitTimeout bounds a question for permits: a request waits for it.
-	permitTimeout = 150 * time.Millisecond
+	// permitWait bounds for how long a request waits for a permit. The question itself goes
+	// on for up to probeTimeout: over a long way the first one has to connect as well.
+	permitWait = 150 * time.Millisecond
 	// permitWindow is the longest time after which a denied request is told to come back.
 	permitWindow = time.Second
 	// noIssuerWait is the same if there is no VM to ask.
@@ -51,8 +51,6 @@
 type permits struct {
 	gateway *Gateway
 	issuer  *ratelimit.Issuer
-	// avoided are the VMs that did not answer as issuers.
-	avoided *avoided
 
 	mu        sync.Mutex
 	borrowers map[issuerKey]*ratelimit.Borrower
@@ -60,7 +58,7 @@
 
 func newPermits(g *Gateway) *permits {
 	return &permits{
-		gateway: g, issuer: ratelimit.NewIssuer(clock.Now), avoided: newAvoided(),
+		gateway: g, issuer: ratelimit.NewIssuer(clock.Now),
 		borrowers: make(map[issuerKey]*ratelimit.Borrower),
 	}
 }
@@ -75,7 +73,9 @@
 		grant := p.issue(w, perS, priority, 1)
 		wait, ok = grant.Wait, grant.Requests > 0
 	default:
-		wait, ok = p.borrower(issuerKey{vm, priority}).Take(context.Background(), w.Life())
+		ctx, cancel := context.WithTimeout(context.Background(), permitWait)
+		defer cancel()
+		wait, ok = p.borrower(issuerKey{vm, priority}).Take(ctx, w.Life())
 	}
 	result := permitDenied
 	if ok {
@@ -86,13 +86,16 @@
 }
 
 // issuerOf returns the VM that hands out what a worker takes: one of its region, or any if
-// none of that is live. A VM that has just started knows of none.
+// none of that is live. A VM that has just started knows of none. One that does not answer
+// is not passed over until it is known to be gone: VMs that each turn to another would hand
+// out the limit several times.
 func (p *permits) issuerOf(w *worker.Worker) (vm string, found bool) {
-	now := clock.Now()
-	live := p.live(w.Region, now)
+	g := p.gateway
+	live, _ := g.Live(w.Region)
 	if len(live) == 0 {
-		for _, region := range p.gateway.regions() {
-			live = append(live, p.live(region, now)...)
+		for _, region := range g.regions() {
+			ids, _ := g.Live(region)
+			live = append(live, ids...)
 		}
 	}
 	first := assign.Top(w.Life(), live, 1)
@@ -102,16 +105,10 @@
 	return first[0], true
 }
 
-// live returns the live VMs of a region that are not avoided.
-func (p *permits) live(region string, now time.Time) []string {
-	ids, _ := p.gateway.Live(region)
-	return slices.DeleteFunc(ids, func(id string) bool { return p.avoided.has(id, now) })
-}
-
-// issue hands out requests of this VM's own part.
+// issue hands out requests to a worker, if this VM takes itself for the one that does so.
 func (p *permits) issue(w *worker.Worker, perS float64, priority, wanted int) ratelimit.Grant {
 	live, listed := p.gateway.Live(w.Region)
-	if listed == 0 {
+	if vm, found := p.issuerOf(w); listed == 0 || !found || vm != p.gateway.cfg.VM {
 		return ratelimit.Grant{Wait: noIssuerWait}
 	}
 	return p.issuer.Issue(ratelimit.Demand{
@@ -150,7 +147,7 @@
 		}
 		demand.Lives, demand.Wanted = append(demand.GetLives(), life), append(demand.GetWanted(), uint32(min(n, maxPermitsWanted)))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), permitTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	reply, err := g.peers.Call(ctx, peer.Target{VM: m.ID, Address: m.Peer}, &peerpb.Envelope{Kind: &peerpb.Envelope_PermitDemand{PermitDemand: demand}})
 	g.cfg.Metrics.PeerCall("permits", err)
@@ -159,7 +156,6 @@
 		err = errors.Newf("permits: %s answers something else", m.ID)
 	}
 	if err != nil {
-		p.avoided.add(m.ID, clock.Now())
 		g.log.Info("permits: the VM that hands them out does not answer", "peer", m.ID, "error", err.Error())
 		return nil, err
 	}
--- a/internal/gateway/ratelimits_test.go
+++ b/internal/gateway/ratelimits_test.go
@@ -69,7 +69,7 @@
 	return got, allowed
 }
 
-// What users saw: a back end that had named a limit of 3.5 requests a second got 73 in 4 s.
+// Each VM alone was within the limit that a worker had named for all of them together.
 func TestWorkersThatNameALimit(t *testing.T) {
 	const names = 2 // of six workers
 	cases := map[string]struct {
