--- a/internal/gateway/longways_test.go
+++ b/internal/gateway/longways_test.go
@@ -98,7 +98,7 @@
 func TestLimitOverLongWays(t *testing.T) {
 	const limit = 3.5
 	f := newFleet(t)
-	f.repeatableConfig(2)
+	f.repeatableConfig()
 	var workers []*signalWorker
 	for i := range 6 {
 		workers = append(workers, f.signalWorker(fmt.Sprintf("w%d", i), "south-a"))
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -156,7 +156,7 @@
 		err = errors.Newf("permits: %s answers something else", m.ID)
 	}
 	if err != nil {
-		g.log.Info("permits: the VM that hands them out does not answer", "peer", m.ID, "error", err.Error())
+		g.log.V(1).Info("permits: the VM that hands them out does not answer", "peer", m.ID, "error", err.Error())
 		return nil, err
 	}
 	g.hearSignals(m.ID, answer.GetSignals())
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -18,9 +18,9 @@
 )
 
 // repeatableConfig writes a configuration whose requests may be repeated once.
-func (f *fleet) repeatableConfig(version uint64) {
+func (f *fleet) repeatableConfig() {
 	f.store.put(kindConfig, "main", route.Config{
-		Version: version, Services: []route.Service{{Name: "s"}},
+		Version: 2, Services: []route.Service{{Name: "s"}},
 		Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/", Timeout: 3 * time.Second, Repeatable: true, MaxAttempts: 2,
 			Targets: []route.Target{{Service: "s", Weight: 1}},
@@ -66,7 +66,7 @@
 	inTurn := []string{"north-a", "north-b", "south-a"}
 	f, m := newFleet(t), &crashWorkers{}
 	t.Cleanup(m.close)
-	f.repeatableConfig(2)
+	f.repeatableConfig()
 	for i := range 9 {
 		m.start(f, fmt.Sprintf("w%d", i), inTurn[i%3])
 	}
--- a/internal/gateway/signal_workers_test.go
+++ b/internal/gateway/signal_workers_test.go
@@ -170,7 +170,7 @@
 // signalFleet starts VMs and workers of one region and waits until the VMs know each other.
 func signalFleet(t *testing.T, vms, workers int) (*fleet, []*signalWorker) {
 	f := newFleet(t)
-	f.repeatableConfig(2)
+	f.repeatableConfig()
 	var list []*signalWorker
 	for i := range workers {
 		list = append(list, f.signalWorker(fmt.Sprintf("w%d", i), []string{"north-a", "north-b"}[i%2]))
--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -31,12 +31,22 @@
 	if rest, asked := cfg.Dialect.Rest(status, header); asked {
 		q.hearSignal(c, worker.Rest{For: rest})
 	}
-	if perS, err := cfg.Dialect.RateLimit(header); err != nil {
+	q.hearLimit(c, status, header)
+	return waiting
+}
+
+// hearLimit takes in the limit that a worker names in an answer, or that it names none.
+// That counts in a success alone: a refusal or a failure may lack what others say.
+func (q *request) hearLimit(c placement.Choice, status int, header http.Header) {
+	cfg := &q.handler.cfg
+	perS, err := cfg.Dialect.RateLimit(header)
+	limit := worker.RateLimit{PerS: perS, Sent: q.sent, Heard: cfg.Now(), From: worker.FromAnswer}
+	switch {
+	case err != nil:
 		q.note("signal", c.Worker().ID+" names a limit that cannot be read: "+err.Error())
-	} else {
-		q.hearSignal(c, worker.RateLimit{PerS: perS, Sent: q.sent, Heard: cfg.Now(), From: worker.FromAnswer})
+	case limit.Named() || status < http.StatusMultipleChoices:
+		q.hearSignal(c, limit)
 	}
-	return waiting
 }
 
 // hearSignal takes in one signal, notes it of the request and, if it is the first of
--- a/transport/ingress/signals_test.go
+++ b/transport/ingress/signals_test.go
@@ -96,3 +96,50 @@
 		t.Errorf("its record does not say why: %s", text)
 	}
 }
+
+// A limit is heard in any answer of the worker's own; that there is none any more, in a
+// success alone.
+func TestLimitsAreHeard(t *testing.T) {
+	const named = 3.0
+	cases := map[string]struct {
+		answers []func(w http.ResponseWriter)
+		limited bool
+	}{
+		"success":                   {[]func(http.ResponseWriter){limited("3", 200)}, true},
+		"failure":                   {[]func(http.ResponseWriter){limited("3", 500)}, true},
+		"refusal":                   {[]func(http.ResponseWriter){limited("3", 503)}, true},
+		"another worker's":          {[]func(http.ResponseWriter){limited("3", http.StatusMisdirectedRequest)}, false},
+		"then a success without it": {[]func(http.ResponseWriter){limited("3", 200), limited("", 200)}, false},
+		"then a failure without it": {[]func(http.ResponseWriter){limited("3", 200), limited("", 500)}, true},
+		"then a refusal without it": {[]func(http.ResponseWriter){limited("3", 200), limited("", 503)}, true},
+		"then one that is garbled":  {[]func(http.ResponseWriter){limited("3", 200), limited("few", 200)}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			next := 0
+			f := newFixture(t, 1, func(_ int, w http.ResponseWriter, _ *http.Request) {
+				c.answers[next](w)
+			})
+			for next = range c.answers {
+				f.ask(http.MethodPost, "/pay/a", strconv.Itoa(next), "body", "Wait", "400")
+			}
+			last := f.loads.Of("w0").RateLimit()
+			if last.Named() != c.limited || c.limited && last.PerS != named {
+				t.Errorf("%+v, want a limit: %t", last, c.limited)
+			}
+		})
+	}
+}
+
+// limited answers with a status, and with a limit if there is one.
+func limited(limit string, status int) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		if limit != "" {
+			w.Header().Set("Limit", limit)
+		}
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Not-Run", "1")
+		}
+		w.WriteHeader(status)
+	}
+}
