--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -29,6 +29,7 @@
 	"overload": overload,
 	"choice":   choice,
 	"lending":  lending,
+	"limits":   limits,
 	"rests":    rests,
 	"stop":     stopping,
 	"steps":    steps,
