--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -42,6 +42,8 @@
 	// closed is set once the test is over.
 	closed bool
 	open   sync.WaitGroup
+	// down is for how long a worker that has ended is down, 0 for downFor.
+	down time.Duration
 }
 
 // endOne ends a worker as the poison request does, and returns when it is back.
@@ -50,7 +52,7 @@
 	s := m.servers[id]
 	m.mu.Unlock()
 	_ = s.Close()
-	time.Sleep(downFor)
+	time.Sleep(m.isDown())
 	return time.Now()
 }
 
@@ -67,6 +69,13 @@
 	return served
 }
 
+func (m *crashWorkers) isDown() time.Duration {
+	if m.down > 0 {
+		return m.down
+	}
+	return downFor
+}
+
 // start starts a worker of service s in a hall, and starts it again each time that it
 // ends.
 func (m *crashWorkers) start(f *fleet, id, hall string) {
@@ -79,7 +88,7 @@
 	m.open.Go(func() {
 		for l != nil {
 			m.live(l, id)
-			time.Sleep(downFor)
+			time.Sleep(m.isDown())
 			l = m.again(address)
 		}
 	})
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -92,6 +92,19 @@
 // a second where a cold worker bears 21. What a VM itself sees then is that the worker ended
 // its connections, or that its port was closed.
 func TestWorkersThatReturnWhileTheStoreIsAway(t *testing.T) {
+	returnAfterSilence(t, 2500*time.Millisecond, downFor) // Longer than the store is silent in calm.
+}
+
+// A worker that starts again just as the store falls silent must not be taken as warm for as
+// long as a calm store may take to tell of it.
+func TestWorkerThatReturnsAsTheStoreFallsSilent(t *testing.T) {
+	returnAfterSilence(t, 300*time.Millisecond, 20*time.Millisecond)
+}
+
+// returnAfterSilence ends a worker, which is down for a time, some time after the store
+// has fallen silent, and counts what it gets while it is cold.
+func returnAfterSilence(t *testing.T, silence, down time.Duration) {
+	t.Helper()
 	const coldRate, coldStart = 11.0, 5 * time.Second
 	f := newFleet(t)
 	f.store.put(kindConfig, "main", route.Config{
@@ -101,7 +114,7 @@
 			Targets: []route.Target{{Service: "s", Weight: 1}},
 		}},
 	})
-	m := &crashWorkers{}
+	m := &crashWorkers{down: down}
 	t.Cleanup(m.close)
 	for i := range 3 {
 		m.start(f, fmt.Sprintf("w%d", i), "north-a")
@@ -122,7 +135,7 @@
 	for _, v := range f.vms {
 		v.door.set(true, false)
 	}
-	time.Sleep(2500 * time.Millisecond) // Longer than the store is silent in calm.
+	time.Sleep(silence)
 	back := m.endOne("w0")
 	time.Sleep(coldStart - time.Second)
 	close(stop)
