worker: ends of workers are heeded until the store has confirmed what is known since

Cause: VMs saw its connections end, but counted that only once the store had been silent for 2 s, and told each other no earlier. The first 2 s of a silence look like calm. Class: what each VM knows is kept to itself until a slower source fails.

Now an end counts as long as the store has confirmed nothing since, and is told at once; for the 1.5 s after that, in which the next process may still not have written its entry, only while the store is silent, as before.

TestPortThatWasClosed: a worker whose connections end as the store falls silent, and which answers again 1 s later, is now cold from that answer on, and no longer from 2.5 s on: the case held the gap for right.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -21,9 +21,6 @@
 	maxSignals = 256
 	// peerThatAsks stands for a VM that asks for news, whose name is not in its question.
 	peerThatAsks = "a VM that asked for news"
-	// silentFor is the age of what is known of workers from which on VMs tell each other
-	// which ones seem to have ended: before that the store tells of the next process soon.
-	silentFor = 2 * time.Second
 )
 
 // toldSignals returns what is known of workers from themselves, and which the store does not
@@ -36,7 +33,7 @@
 		return nil
 	}
 	now := clock.Now()
-	silent := now.Sub(g.replica.Confirmed(g.cfg.Codec.WorkerKind())) >= silentFor
+	confirmed := g.replica.Confirmed(g.cfg.Codec.WorkerKind())
 	told := make(map[string]*peerpb.WorkerSignals, len(known))
 	for life, signals := range known {
 		w, ok := s.Workers.Life(life)
@@ -48,7 +45,7 @@
 			// Never less than it is, so that a word which comes back binds no earlier.
 			message.LeavingMillis = millis(max(leaving.Until.Sub(now)+time.Millisecond, 0))
 		}
-		if ended := signals.Ended; silent {
+		if ended := signals.Ended; ended.Unsettled(confirmed) {
 			message.EndedMillis, message.ReturnedMillis = sinceMillis(now, ended.At), sinceMillis(now, ended.Returned)
 			message.LivedFromMillis, message.LivedToMillis = sinceMillis(now, ended.Lived.From), sinceMillis(now, ended.Lived.To)
 		}
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -235,8 +235,8 @@
 
 // MayBeCold reports whether the worker may be a process that has just started, though
 // its entry is that of the one before. Confirmed is when the store last confirmed what is
-// known of workers, coldStart for how long one is cold after its start. While the store is
-// silent nothing tells of a start but what the worker's port does. It is down for a while
+// known of workers, coldStart for how long one is cold after its start. Until the store could
+// tell of a start nothing does but what the worker's port does. It is down for a while
 // first: a start counts from the first answer after the end, at any VM.
 func (l *Load) MayBeCold(confirmed time.Time, coldStart time.Duration) bool {
 	l.mu.Lock()
@@ -255,7 +255,8 @@
 			return false
 		}
 	}
-	return confirmed.Before(started.Add(newsOfStart)) && now.Sub(confirmed) > storeSilent
+	silent := now.Sub(confirmed) > storeSilent
+	return confirmed.Before(started) || silent && confirmed.Before(started.Add(newsOfStart))
 }
 
 // endSeen is how much the end of a process and what is seen of it may lie apart: answers that
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -62,6 +62,13 @@
 	Lived Span
 }
 
+// Unsettled reports whether the store, which last confirmed what is known of workers at a
+// moment, may not have told yet whether the process ended.
+func (e Ended) Unsettled(confirmed time.Time) bool {
+	last := later(later(e.At, e.Returned), e.Lived.To)
+	return confirmed.Before(last.Add(newsOfStart))
+}
+
 func (Leaving) isSignal() {}
 func (Ended) isSignal()   {}
 func (Rest) isSignal()    {}
