--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -253,3 +253,7 @@
 func TellsLeaving(members []membership.Member, hall string, regions map[string]string) []membership.Member {
 	return nearest(members, hall, regions, leavingTold)
 }
+
+// Issues returns how many requests to a life of a worker this VM hands out if it is asked
+// for more than there are.
+func (g *Gateway) Issues(life string) int { return g.permits.issueLife(life, 0, 100).Requests }
--- a/internal/gateway/ratelimits_test.go
+++ b/internal/gateway/ratelimits_test.go
@@ -172,3 +172,19 @@
 		t.Errorf("it gets %d of %d requests", n, all)
 	}
 }
+
+// Of all VMs that are asked for permits, only one hands any out.
+func TestOnlyTheIssuerHandsOut(t *testing.T) {
+	f, workers := signalFleet(t, 4, 1)
+	workers[0].name(40)
+	f.loadFor(5*time.Millisecond, 3*time.Second)
+	var issuers []string
+	for _, v := range f.vms {
+		if v.Issues(workers[0].id) > 0 {
+			issuers = append(issuers, v.name)
+		}
+	}
+	if len(issuers) != 1 {
+		t.Errorf("%v hand out what one worker takes", issuers)
+	}
+}
--- a/internal/program/print.go
+++ b/internal/program/print.go
@@ -4,6 +4,7 @@
 package program
 
 import (
+	"fmt"
 	"io"
 	"text/tabwriter"
 	"time"
@@ -95,7 +96,7 @@
 		printf(table, "not used: %s\t%s\t%s\t\t\t\n", e.Kind, e.Name, e.Reason)
 	}
 	for _, h := range s.HeldBack {
-		printf(table, "%s: %s\t%s\t%s\tby %s\t%d ms\t\n", h.State, h.Worker, h.Service, h.Hall, h.From, h.LeftMillis)
+		printf(table, "%s: %s\t%s\t%s\tby %s\t%s\t\n", h.State, h.Worker, h.Service, h.Hall, h.From, heldBackText(h))
 	}
 	for _, m := range s.Members {
 		printf(table, "VM %s\t%s\t%s\t\t\t\n", m.VM, m.Hall, m.State)
@@ -103,6 +104,14 @@
 	return table.Flush()
 }
 
+// heldBackText says for how long a worker is held back, or how much it takes and since when.
+func heldBackText(h operator.HeldBackWorker) string {
+	if h.SinceMillis > 0 {
+		return fmt.Sprintf("%.1f a second, for %d ms", h.PerS, h.SinceMillis)
+	}
+	return fmt.Sprintf("%d ms", h.LeftMillis)
+}
+
 func orAll(name string) string {
 	if name == "" {
 		return "all"
