--- a/coordination/placement/search_test.go
+++ b/coordination/placement/search_test.go
@@ -35,8 +35,7 @@
 	return f
 }
 
-// Without a permit a worker that names a limit gets nothing: others get its requests, within
-// the regions that may have them, or they are refused at once with the time to come back.
+// A worker without a permit left must get nothing, and its requests go where they may or are refused.
 func TestLimitsBind(t *testing.T) {
 	all := []string{"north", "south", "east"}
 	counts := map[string]int{"north": 4, "south": 4, "east": 4}
--- a/coordination/ratelimit/issuer_test.go
+++ b/coordination/ratelimit/issuer_test.go
@@ -12,9 +12,7 @@
 	"github.com/ryehill/ryehill/coordination/ratelimit"
 )
 
-// A worker gets no more in 4 s than one and a half times its limit and five: also while a cut
-// gives it two issuers, while VMs see less than half of the others, and while issuers start
-// again or change.
+// Cuts, lonely VMs and new issuers must not add up to more than a worker's limit allows.
 func TestIssuersStayWithinTheLimit(t *testing.T) {
 	const window, listed = 4 * time.Second, 12
 	rapid.Check(t, func(t *rapid.T) {
@@ -70,8 +68,7 @@
 	})
 }
 
-// Urgent requests go first, those that are denied are told different moments, and most of
-// the limit is used.
+// Urgent requests must go first, and most of a limit must be used.
 func TestIssuerServesUrgentRequestsFirst(t *testing.T) {
 	const limit, span = 4.0, 30 * time.Second
 	cases := map[string]struct {
--- a/internal/experiment/limits_test.go
+++ b/internal/experiment/limits_test.go
@@ -5,8 +5,7 @@
 
 import "testing"
 
-// However many VMs share it, one VM that hands out a worker's limit keeps it, and callers who
-// ask for more get most of it.
+// One VM that hands out a limit must keep it and let most of it be used, however many VMs share it.
 func TestOneVMHandsOutALimit(t *testing.T) {
 	const leastUsed, factor, slack = 0.7, 1.5, 5
 	for _, vms := range limitFleets {
--- a/internal/gateway/lapse_test.go
+++ b/internal/gateway/lapse_test.go
@@ -69,8 +69,7 @@
 	}
 }
 
-// A store that comes back without a worker's entry says nothing of whether the process
-// ended meanwhile: one that did is cold still.
+// A store that comes back without a worker's entry must not make one that has ended warm.
 func TestLapsedEntryTellsOfNoEnd(t *testing.T) {
 	f := newFleet(t)
 	f.store.put(kindConfig, "main", route.Config{
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -95,8 +95,7 @@
 	returnAfterSilence(t, 2500*time.Millisecond, downFor) // Longer than the store is silent in calm.
 }
 
-// A worker that starts again just as the store falls silent must not be taken as warm for as
-// long as a calm store may take to tell of it.
+// A worker that starts again just as the store falls silent must not be taken as warm.
 func TestWorkerThatReturnsAsTheStoreFallsSilent(t *testing.T) {
 	returnAfterSilence(t, 300*time.Millisecond, 20*time.Millisecond)
 }
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -83,8 +83,7 @@
 	}
 }
 
-// All parts of a fleet together keep the limit of a worker, whatever happens to the VM that
-// hands it out.
+// Parts of a fleet that do not see each other must keep a worker's limit together.
 func TestLimitsThroughFaults(t *testing.T) {
 	const vms, limit, turn = 6, 3.0, 1500 * time.Millisecond
 	cases := map[string]func(f *fleet, p *partition){
--- a/internal/gateway/ratelimits_test.go
+++ b/internal/gateway/ratelimits_test.go
@@ -121,8 +121,7 @@
 	}
 }
 
-// All workers name limits, whose sum is less than callers ask for: none gets more, and most
-// of what they take is used.
+// Limits whose sum is less than callers ask for must hold and be used.
 func TestAllWorkersNameALimit(t *testing.T) {
 	const limit = 8.0
 	f, workers := signalFleet(t, 5, 6)
@@ -151,8 +150,7 @@
 	}
 }
 
-// A worker that no longer names a limit gets its usual requests again, also from VMs that
-// had none of its answers since.
+// A worker that no longer names a limit must get its usual requests again.
 func TestWorkerThatNoLongerNamesALimit(t *testing.T) {
 	f, workers := signalFleet(t, 3, 3)
 	stop, ended := make(chan struct{}), make(chan *answers)
--- a/state/worker/ratelimit_test.go
+++ b/state/worker/ratelimit_test.go
@@ -23,7 +23,7 @@
 	from        string
 }
 
-// Answers overtake each other: what is newer for certain holds, and else the tighter limit.
+// An overtaken answer must not loosen a limit.
 func TestOvertakenLimits(t *testing.T) {
 	const ms = time.Millisecond
 	cases := map[string]struct {
@@ -62,8 +62,7 @@
 	}
 }
 
-// Whatever the order in which answers come, and whatever old ones are told again, the answer
-// to a request that was sent after all of them is believed.
+// The answer to a request that was sent after all others must be believed.
 func TestLastLimitIsBelieved(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := clockwork.NewFakeClock()
@@ -94,8 +93,7 @@
 	})
 }
 
-// After a limit has ended requests come back little by little, at all VMs alike; the next
-// life of the worker has none.
+// The end of a limit must not bring all requests back at once.
 func TestReturnAfterALimit(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	loads, w := worker.NewLoads(clock.Now), worker.Worker{ID: "w", Start: 1}
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -69,13 +68,6 @@
 	return rest, err == nil && status == http.StatusServiceUnavailable
 }
 
-func (plain) RateLimit(h http.Header) (float64, error) {
-	if h.Get("Limit") == "" {
-		return math.Inf(1), nil
-	}
-	return strconv.ParseFloat(h.Get("Limit"), 64)
-}
-
 func (plain) Refused(res *http.Response) (upstream.Kind, bool) {
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		return upstream.KindOther, true
--- a/transport/ingress/signals_test.go
+++ b/transport/ingress/signals_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -97,8 +98,14 @@
 	}
 }
 
-// A limit is heard in any answer of the worker's own; that there is none any more, in a
-// success alone.
+func (plain) RateLimit(h http.Header) (float64, error) {
+	if h.Get("Limit") == "" {
+		return math.Inf(1), nil
+	}
+	return strconv.ParseFloat(h.Get("Limit"), 64)
+}
+
+// A failure or refusal without a limit must not end one.
 func TestLimitsAreHeard(t *testing.T) {
 	const named = 3.0
 	cases := map[string]struct {
