--- a/internal/gateway/lapse_test.go
+++ b/internal/gateway/lapse_test.go
@@ -71,6 +71,7 @@
 
 // A store that comes back without a worker's entry must not make one that has ended warm.
 func TestLapsedEntryTellsOfNoEnd(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.store.put(kindConfig, "main", route.Config{
 		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 20 * time.Second}},
--- a/internal/gateway/lives_test.go
+++ b/internal/gateway/lives_test.go
@@ -97,6 +97,7 @@
 
 // A worker that starts again just as the store falls silent must not be taken as warm.
 func TestWorkerThatReturnsAsTheStoreFallsSilent(t *testing.T) {
+	t.Parallel()
 	returnAfterSilence(t, 300*time.Millisecond, 20*time.Millisecond)
 }
 
--- a/internal/gateway/longways_test.go
+++ b/internal/gateway/longways_test.go
@@ -96,6 +96,7 @@
 
 // VMs that do not get an answer in time must not all hand out the limit of one worker.
 func TestLimitOverLongWays(t *testing.T) {
+	t.Parallel()
 	const limit = 3.5
 	f := newFleet(t)
 	f.repeatableConfig()
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -85,6 +85,7 @@
 
 // Parts of a fleet that do not see each other must keep a worker's limit together.
 func TestLimitsThroughFaults(t *testing.T) {
+	t.Parallel()
 	const vms, limit, turn = 6, 3.0, 1500 * time.Millisecond
 	cases := map[string]func(f *fleet, p *partition){
 		"halves":  func(_ *fleet, p *partition) { p.divide(func(vm int) int { return vm % 2 }); time.Sleep(4 * turn) },
--- a/internal/gateway/ratelimits_test.go
+++ b/internal/gateway/ratelimits_test.go
@@ -71,6 +71,7 @@
 
 // Each VM alone was within the limit that a worker had named for all of them together.
 func TestWorkersThatNameALimit(t *testing.T) {
+	t.Parallel()
 	const names = 2 // of six workers
 	cases := map[string]struct {
 		limit  float64
@@ -123,6 +124,7 @@
 
 // Limits whose sum is less than callers ask for must hold and be used.
 func TestAllWorkersNameALimit(t *testing.T) {
+	t.Parallel()
 	const limit = 8.0
 	f, workers := signalFleet(t, 5, 6)
 	for _, w := range workers {
@@ -152,6 +154,7 @@
 
 // A worker that no longer names a limit must get its usual requests again.
 func TestWorkerThatNoLongerNamesALimit(t *testing.T) {
+	t.Parallel()
 	f, workers := signalFleet(t, 3, 3)
 	stop, ended := make(chan struct{}), make(chan *answers)
 	go func() { ended <- f.load(5*time.Millisecond, stop) }()
@@ -173,6 +176,7 @@
 
 // Of all VMs that are asked for permits, only one hands any out.
 func TestOnlyTheIssuerHandsOut(t *testing.T) {
+	t.Parallel()
 	f, workers := signalFleet(t, 4, 1)
 	workers[0].name(40)
 	f.loadFor(5*time.Millisecond, 3*time.Second)
