worker: one connection that ends under a request is no end of its process while the store is calm

Traced: since ends are heeded at once, a hang-up made its worker cold until the store's next word, some 0.5 s in calm, and three of them a whole region. For callers that is 503 while workers have room.

A connection that ends under a request shows the end of that request: its process may have ended, or an answer was lost. So it counts as before, once the store has been silent for 2 s, and is told to others no earlier; that all kept connections to a worker have ended counts at once. Three cases of TestPortThatWasClosed are new.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -45,7 +45,7 @@
 			// Never less than it is, so that a word which comes back binds no earlier.
 			message.LeavingMillis = millis(max(leaving.Until.Sub(now)+time.Millisecond, 0))
 		}
-		if ended := signals.Ended; ended.Unsettled(confirmed) {
+		if ended := signals.Ended; ended.Unsettled(confirmed, now) {
 			message.EndedMillis, message.ReturnedMillis = sinceMillis(now, ended.At), sinceMillis(now, ended.Returned)
 			message.LivedFromMillis, message.LivedToMillis = sinceMillis(now, ended.Lived.From), sinceMillis(now, ended.Lived.To)
 		}
--- a/state/worker/life_test.go
+++ b/state/worker/life_test.go
@@ -52,6 +52,9 @@
 		"ended, no store for 0.3 s":      {(*worker.Load).Ended, false, 0, played, 0, 300 * time.Millisecond},
 		"the same, back after 0.5 s":     {(*worker.Load).Ended, false, 0, coldStart + 500*time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond},
 		"ended, the store is calm":       {(*worker.Load).Ended, true, 0, 0, 0, 300 * time.Millisecond},
+		"hung up, no store for 0.3 s":    {(*worker.Load).HungUp, false, 2 * time.Second, played, 0, 300 * time.Millisecond},
+		"hung up, the store is calm":     {(*worker.Load).HungUp, true, 0, 0, 0, 300 * time.Millisecond},
+		"hung up, then all ended":        {func(l *worker.Load) { l.HungUp(); l.Ended() }, false, 0, played, 0, 300 * time.Millisecond},
 		"nothing, though without store":  {func(*worker.Load) {}, false, 0, 0, 0, 0},
 		"closed, then connections ended": {func(l *worker.Load) { l.Refused(); l.Ended() }, true, 0, 3 * time.Second, 0, 0},
 	}
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -120,6 +120,7 @@
 	ended    time.Time // when its process last seemed to have ended
 	returned time.Time // when a VM first had an answer after that
 	earlier  end       // the end before that, for the case that there was none
+	doubtful bool      // set if the end rests on one connection
 	proved   Span
 	lived    Span // in which the process is known not to have ended, though it seemed to
 	signals  signals
@@ -219,6 +220,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.endAt(l.now())
+	l.doubtful = false
+	l.limits.add(l)
+}
+
+// HungUp notes that the worker ended one connection under a request. Its process may have
+// ended, or an answer was lost.
+func (l *Load) HungUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubtful = l.lastEnd().Before(l.now().Add(-sameEnd)) || l.doubtful
+	l.endAt(l.now())
 	l.limits.add(l)
 }
 
@@ -256,7 +268,7 @@
 		}
 	}
 	silent := now.Sub(confirmed) > storeSilent
-	return confirmed.Before(started) || silent && confirmed.Before(started.Add(newsOfStart))
+	return confirmed.Before(started) && !l.doubtful || silent && confirmed.Before(started.Add(newsOfStart))
 }
 
 // endSeen is how much the end of a process and what is seen of it may lie apart: answers that
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -60,11 +60,17 @@
 	// Lived is when the process is known not to have ended though it had seemed to, zero if
 	// there is no such time.
 	Lived Span
+	// Doubtful is set if it rests on one connection, which may have been lost alone.
+	Doubtful bool
 }
 
 // Unsettled reports whether the store, which last confirmed what is known of workers at a
-// moment, may not have told yet whether the process ended.
-func (e Ended) Unsettled(confirmed time.Time) bool {
+// moment, may not have told yet whether the process ended. In calm nothing is made of a
+// doubtful end.
+func (e Ended) Unsettled(confirmed, now time.Time) bool {
+	if e.Doubtful && now.Sub(confirmed) <= storeSilent {
+		return false
+	}
 	last := later(later(e.At, e.Returned), e.Lived.To)
 	return confirmed.Before(last.Add(newsOfStart))
 }
@@ -123,6 +129,7 @@
 	l.acquit(e.Lived)
 	if first = e.At.After(l.lastEnd().Add(sameEnd)) && !l.lived.holds(e.At); first {
 		l.endAt(e.At)
+		l.doubtful = false
 		l.acquit(l.proved)
 	}
 	unknown := l.returned.Before(l.lastEnd())
--- a/state/worker/standing.go
+++ b/state/worker/standing.go
@@ -142,7 +142,7 @@
 	defer l.mu.Unlock()
 	t.Leaving = l.signals.leaving
 	if last := l.lastEnd(); l.now().Sub(last) < maxColdStart {
-		t.Ended.At = last
+		t.Ended.At, t.Ended.Doubtful = last, l.doubtful
 		if l.returned.After(last) {
 			t.Ended.Returned = l.returned
 		}
--- a/transport/ingress/try.go
+++ b/transport/ingress/try.go
@@ -262,7 +262,7 @@
 		}
 		if !left && failed.HungUp() {
 			f.hungUp = true
-			c.Load().Ended()
+			c.Load().HungUp()
 			q.noteHangUp(c)
 		}
 	case upstream.KindBody:
