gateway: the test of the one issuer asks each VM twice

switch-off missed limit-one-issuer: a VM that was never asked has an empty bucket, so it handed out nothing at the first question whatever it took itself for.

--- a/internal/gateway/ratelimits_test.go
+++ b/internal/gateway/ratelimits_test.go
@@ -180,7 +180,10 @@
 	f, workers := signalFleet(t, 4, 1)
 	workers[0].name(40)
 	f.loadFor(5*time.Millisecond, 3*time.Second)
-	time.Sleep(time.Second) // Until then the load may have used up what there was.
+	for _, v := range f.vms {
+		v.Issues(workers[0].id) // A VM that has never been asked has nothing in hand.
+	}
+	time.Sleep(time.Second)
 	var issuers []string
 	for _, v := range f.vms {
 		if v.Issues(workers[0].id) > 0 {
