ingress, gateway: logs and counts suspected exits of workers

Nothing in a VM's output told which exits of workers it had seen, on what evidence, which it took back, or that it took the store as having been away.

The lines are limited like those of other signals; ryehill_upstream_exits_total counts by evidence. The functions that record an exit say whether it is new; their table in TestColdAfterClosedPort checks that too. No logic changes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,12 +13,14 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/internal/loopback"
@@ -100,7 +102,7 @@
 		Fleet: "test", VM: name, Hall: hall, Halls: regionOfHall,
 		Ingress: v.ingressAddr, Ready: entry, Directory: entry, Peer: ip + ":8003", MetricsAddress: ip + ":8004",
 		Seeds: slices.Clone(f.seeds), Bounds: gateway.Bounds{Grace: 3 * time.Second, RetryRatio: 0.1, MaxTTL: 5 * time.Second, ApplyWithin: applyWithin},
-		Store: v.storeClient, Codec: codec{}, Dialect: dialect{}, Log: logr.Discard(), Metrics: metrics.New(),
+		Store: v.storeClient, Codec: codec{}, Dialect: dialect{}, Log: logWhenFailed(f.t, name), Metrics: metrics.New(),
 		EntryHandler:  func(*gateway.Gateway) http.Handler { return http.NotFoundHandler() },
 		ProbeInterval: 100 * time.Millisecond,
 	}
@@ -127,6 +129,28 @@
 	return v
 }
 
+// maxLogLines bounds the log lines kept for each VM.
+const maxLogLines = 200
+
+// logWhenFailed collects the last log lines of a VM and prints them if the test fails.
+func logWhenFailed(t *testing.T, vm string) logr.Logger {
+	var mu sync.Mutex
+	var lines []string
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", vm, strings.Join(lines, "\n"))
+		}
+	})
+	return funcr.New(func(_, args string) {
+		mu.Lock()
+		defer mu.Unlock()
+		lines = append(lines, time.Now().Format("15:04:05.000 ")+args)
+		lines = lines[max(len(lines)-maxLogLines, 0):]
+	}, funcr.Options{})
+}
+
 func (f *fleet) waitFor(what string, condition func() bool) {
 	f.t.Helper()
 	for deadline := time.Now().Add(waitTimeout); !condition(); time.Sleep(10 * time.Millisecond) {
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -31,14 +31,17 @@
 }
 
 // record detects the end of an outage. It takes the time at which a kind was last
-// confirmed, and is called before newer state of the kind is applied.
-func (o *storeOutage) record(confirmed, now time.Time, outageAfter time.Duration) {
+// confirmed, and is called before newer state of the kind is applied. It reports whether
+// the outage is not known yet.
+func (o *storeOutage) record(confirmed, now time.Time, outageAfter time.Duration) (first bool) {
 	if confirmed.IsZero() || now.Sub(confirmed) < outageAfter {
-		return
+		return false
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	first = !o.confirmed.Equal(confirmed)
 	o.returned, o.confirmed = now, confirmed
+	return first
 }
 
 // graceEnd returns the time until which workers with missing entries are used.
@@ -60,7 +63,9 @@
 // called before changes from the store or a peer are applied.
 func (g *Gateway) recordOutage(now time.Time) {
 	confirmed := g.replica.ConfirmedAt(g.cfg.Codec.WorkerKind())
-	g.outage.record(confirmed, now, g.cfg.StaleAfter+outageMargin)
+	if g.outage.record(confirmed, now, g.cfg.StaleAfter+outageMargin) {
+		g.log.Info("store: an outage may have ended, keeping entries that lapse now", "confirmed_ms_ago", now.Sub(confirmed).Milliseconds(), "for_ms", lapseGrace.Milliseconds())
+	}
 }
 
 // lapsedWorkers returns the workers whose entries are missing but may only have expired while
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -22,6 +22,8 @@
 	// unnamedPeer names the source of signals in a sync request, which does not carry the
 	// name of its sender.
 	unnamedPeer = "a VM that asked for news"
+	// exitReported is the evidence of a suspected exit that a peer has observed.
+	exitReported = "reported by peer"
 )
 
 // outgoingSignals returns the signals of workers that the store does not have. They are part
@@ -103,8 +105,9 @@
 			At: millisBefore(now, message.EndedMillis), RespondedAt: millisBefore(now, message.ReturnedMillis),
 			NoExitDuring: worker.Span{From: millisBefore(now, message.LivedFromMillis), To: millisBefore(now, message.LivedToMillis)},
 		}
-		if exit != (worker.SuspectedExit{}) {
-			g.loads.GetOrCreate(incarnation).Observe(exit)
+		if exit != (worker.SuspectedExit{}) && g.loads.GetOrCreate(incarnation).Observe(exit) {
+			g.cfg.Metrics.SuspectedExit(exitReported)
+			g.log.Info("workers: process may have exited", "worker", w.ID, "evidence", exitReported, "peer", from, "exited_ms_ago", now.Sub(exit.At).Milliseconds())
 		}
 		g.applyLimit(now, from, w, message)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -43,6 +43,7 @@
 	passed    *prometheus.CounterVec
 	copies    *prometheus.CounterVec
 	keyAsked  prometheus.Counter
+	exits     *prometheus.CounterVec
 	hungUp    *prometheus.CounterVec
 	rests     *prometheus.CounterVec
 	leaving   *prometheus.CounterVec
@@ -80,6 +81,7 @@
 		knowledge: gauge(r, "knowledge_age_seconds", "Time since the store last confirmed what is believed, by kind.", "kind"),
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
+		exits:     counter(r, "upstream_exits_total", "Suspected exits of upstream processes that this VM observed or was told of, by evidence.", "evidence"),
 		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
 		heldBack:  gauge(r, "upstreams_held_back", "Upstreams that get nothing for now, or soon, for what they have said of themselves, by state.", "state"),
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
@@ -179,6 +181,9 @@
 // KnowledgeDoubted counts a kind of which a peer named an object that was missing.
 func (s *Set) KnowledgeDoubted(kind string) { s.doubted.WithLabelValues(kind).Inc() }
 
+// SuspectedExit counts a suspected exit of an upstream's process.
+func (s *Set) SuspectedExit(evidence string) { s.exits.WithLabelValues(evidence).Inc() }
+
 // WatcherPassedOver counts a VM that is not asked for news for a while.
 func (s *Set) WatcherPassedOver(reason string) { s.passed.WithLabelValues(reason).Inc() }
 
--- a/state/worker/incarnation_test.go
+++ b/state/worker/incarnation_test.go
@@ -32,7 +32,7 @@
 func TestColdAfterClosedPort(t *testing.T) {
 	const coldStart, observed = 8 * time.Second, 12 * time.Second
 	cases := map[string]struct {
-		event func(l *worker.Load)
+		event func(l *worker.Load) bool
 		// storeConfirms is set if the store keeps confirming its data.
 		storeConfirms bool
 		// The worker counts as cold from coldFrom on for coldFor.
@@ -53,9 +53,9 @@
 		"closed, store confirms":         {(*worker.Load).RecordAllConnectionsClosed, true, 0, 0, 0, 300 * time.Millisecond},
 		"one closed, store silent":       {(*worker.Load).RecordConnectionClosed, false, 2 * time.Second, observed, 0, 300 * time.Millisecond},
 		"one closed, store confirms":     {(*worker.Load).RecordConnectionClosed, true, 0, 0, 0, 300 * time.Millisecond},
-		"one closed, then all":           {func(l *worker.Load) { l.RecordConnectionClosed(); l.RecordAllConnectionsClosed() }, false, 0, observed, 0, 300 * time.Millisecond},
-		"no event, store silent":         {func(*worker.Load) {}, false, 0, 0, 0, 0},
-		"refused, then closed":           {func(l *worker.Load) { l.RecordConnectionRefused(); l.RecordAllConnectionsClosed() }, true, 0, 3 * time.Second, 0, 0},
+		"one closed, then all":           {func(l *worker.Load) bool { return l.RecordConnectionClosed() && l.RecordAllConnectionsClosed() }, false, 0, observed, 0, 300 * time.Millisecond},
+		"no event, store silent":         {func(*worker.Load) bool { return true }, false, 0, 0, 0, 0},
+		"refused, then closed":           {func(l *worker.Load) bool { return l.RecordConnectionRefused() && !l.RecordAllConnectionsClosed() }, true, 0, 3 * time.Second, 0, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -64,7 +64,9 @@
 			loads := worker.NewLoads(clock.Now)
 			l, start := loads.GetOrCreate("w"), clock.Now()
 			l.RecordFailure()
-			c.event(l)
+			if !c.event(l) {
+				t.Fatal("wrong result on whether the exit is new")
+			}
 			for at := time.Duration(0); at < observed; at += step {
 				if c.respondsAt > 0 && at >= c.respondsAt {
 					l.RecordResponse()
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -129,7 +129,7 @@
 // retraction of an earlier one.
 func (l *Load) observeExit(e SuspectedExit) (first bool) {
 	l.retractOutlivedExit(e.NoExitDuring)
-	if first = e.At.After(l.lastExit().Add(duplicateSignalWindow)) && !l.noExitDuring.contains(e.At); first {
+	if first = l.isNewExit(e.At) && !l.noExitDuring.contains(e.At); first {
 		l.recordExit(e.At)
 		l.uncertain = false
 		l.retractOutlivedExit(l.provenAlive)
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -141,10 +141,12 @@
 	}
 	defer res.Close()
 	q.workerQueue = q.readSignals(c, res.Status(), res.Header())
-	if res.Reconnected() {
-		workerLoad.RecordAllConnectionsClosed()
+	if res.Reconnected() && workerLoad.RecordAllConnectionsClosed() {
+		q.logExit(c, exitAllConnections)
+	}
+	if workerLoad.ConfirmAlive(res.ConnectionOpened()) {
+		q.logSignal("workers: suspected exit retracted", w)
 	}
-	workerLoad.ConfirmAlive(res.ConnectionOpened())
 	workerLoad.RecordOutcome(countsAgainstWorker(res.Status()))
 	q.reportAnswered(res.Status())
 	q.handler.cfg.Demand.RecordLatency(w.Service, q.elapsed(q.sentAt))
@@ -250,8 +252,8 @@
 			c.Load().RecordFailure()
 			c.Load().RecordOutcome(true)
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.Load().RecordConnectionRefused()
+		if errors.Is(err, syscall.ECONNREFUSED) && c.Load().RecordConnectionRefused() {
+			q.logExit(c, exitRefused)
 		}
 	case upstream.KindWrongWorker:
 		f.cause = retry.CauseUnreachable
@@ -263,7 +265,9 @@
 		}
 		if !clientGone && failed.PeerClosed() {
 			f.peerClosed = true
-			c.Load().RecordConnectionClosed()
+			if c.Load().RecordConnectionClosed() {
+				q.logExit(c, exitOneConnection)
+			}
 			q.reportHangUp(c)
 		}
 	case upstream.KindRequestBody:
--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -87,6 +87,19 @@
 	q.logSignal("workers: one no longer names a limit", w)
 }
 
+// Evidence of a suspected exit, as shown in logs and metrics.
+const (
+	exitRefused        = "connection refused"
+	exitAllConnections = "all connections closed"
+	exitOneConnection  = "one connection closed"
+)
+
+// logExit logs and counts that the process of a worker may have exited.
+func (q *request) logExit(c placement.Choice, evidence string) {
+	q.handler.cfg.Metrics.SuspectedExit(evidence)
+	q.logSignal("workers: process may have exited", c.Worker(), "evidence", evidence)
+}
+
 // logSignal logs a line on a signal, unless too many were logged.
 func (q *request) logSignal(message string, w worker.Worker, values ...any) {
 	suppressed, ok := q.handler.logLimiter.allow(reasonSignal)
