--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -32,6 +32,7 @@
 	"github.com/ryehill/ryehill/coordination/steer"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/holders"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
@@ -78,6 +79,8 @@
 type Snapshot struct {
 	Routes  *route.Table
 	Workers *worker.Set
+	// WorkersMark identifies the state of the workers' entries that Workers was built from.
+	WorkersMark object.Mark
 	// Closed contains the halls that are closed. Their workers get no requests, except
 	// within the deadlines in Closing.
 	Closed map[string]bool
@@ -205,9 +208,9 @@
 	Holders *holders.Table
 	// Demand counts keyed requests by service and key. Nil disables counting.
 	Demand *demand.Meter
-	// Confirmed returns when the store last confirmed the known workers. Nil means that
-	// they are always current.
-	Confirmed func() time.Time
+	// Confirmed returns when the store last confirmed the workers' entries of a snapshot.
+	// Nil means that they are always current.
+	Confirmed func(*Snapshot) time.Time
 	// Permits issues permits for rate-limited workers. Nil disables rate limits.
 	Permits Permits
 }
@@ -224,7 +227,7 @@
 		cfg.Demand = demand.NewMeter(cfg.Region)
 	}
 	if cfg.Confirmed == nil {
-		cfg.Confirmed = cfg.Now
+		cfg.Confirmed = func(*Snapshot) time.Time { return cfg.Now() }
 	}
 	if cfg.Permits == nil {
 		cfg.Permits = unlimitedPermits{}
@@ -322,7 +325,7 @@
 	if !constrained {
 		return false
 	}
-	confirmed := p.cfg.Confirmed()
+	confirmed := p.cfg.Confirmed(s)
 	if !w.Confirmed.IsZero() {
 		confirmed = w.Confirmed
 	}
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -108,8 +108,9 @@
 	g.compileClosed(c, now)
 	g.compileTraffic(c)
 	g.compileRollouts(now)
+	workersMark := g.replica.Mark(g.cfg.Codec.WorkerKind())
 	s := &placement.Snapshot{
-		Routes: c.routes, Workers: g.compileWorkers(c, now), Closed: maps.Clone(c.closed), Closing: maps.Clone(c.drainWindows),
+		Routes: c.routes, Workers: g.compileWorkers(c, now), WorkersMark: workersMark, Closed: maps.Clone(c.closed), Closing: maps.Clone(c.drainWindows),
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
 	}
 	g.snapshot.Store(s)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,9 @@
 	g.placer = placement.New(placement.Config{
 		Hall: cfg.Hall, Region: g.region(), Loads: g.loads, ColdLimiter: cold, Steerer: steer.New(steer.Config{Hall: cfg.Hall}), Now: clock.Now,
 		Holders: g.balancer.table, Demand: g.balancer.meter, Permits: g.permits,
-		Confirmed: func() time.Time { return g.replica.ConfirmedAt(cfg.Codec.WorkerKind()) },
+		Confirmed: func(s *placement.Snapshot) time.Time {
+			return g.replica.ConfirmedAtMark(cfg.Codec.WorkerKind(), s.WorkersMark)
+		},
 	})
 	g.quotas = newQuotas(g)
 	g.ingress = ingress.New(ingress.Config{
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -9,10 +9,14 @@
 	"time"
 
 	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/worker"
 )
 
+// startPropagation is the time by which the store has the entry of a restarted worker.
+const startPropagation = 1500 * time.Millisecond
+
 // Guards against dropping lapsed entries before their workers had time to write them again.
 func TestEntriesThatLapseAreRetained(t *testing.T) {
 	f := newFleet(t)
@@ -96,3 +100,41 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// slowCodec takes a while to decode the entry of the worker "slow".
+type slowCodec struct{ codec }
+
+const slowDecode = 400 * time.Millisecond
+
+func (c slowCodec) Worker(o object.Object) (worker.Worker, time.Duration, error) {
+	if o.Name == "slow" {
+		time.Sleep(slowDecode)
+	}
+	return c.codec.Worker(o)
+}
+
+// Guards against judging a worker by a confirmation of changes that are not in the snapshot yet.
+func TestConfirmationAppliesWithItsSnapshot(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.put(kindConfig, "main", route.Config{
+		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 20 * time.Second}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+	})
+	f.startWorker("ended", "s", "north-a")
+	v := f.startVM("a", "north-a", func(cfg *gateway.Config, _ *storeClient) { cfg.Codec = slowCodec{} })
+	f.waitFor("the VM is ready", v.ready)
+	v.storeClient.setFailure(true, false)
+	time.Sleep(2 * staleAfter) // The last watch may confirm the state for another half of staleAfter.
+	v.RecordConnectionsClosed("ended")
+	time.Sleep(startPropagation)
+	f.store.remove(kindWorkers, "ended")
+	f.startWorker("slow", "s", "north-a")
+	v.storeClient.setFailure(false, false)
+	f.waitFor("the change is compiled", func() bool {
+		if !v.IsCold("ended") {
+			t.Fatal("terminated worker is warm")
+		}
+		return v.KnowsWorker("slow")
+	})
+}
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -170,3 +170,31 @@
 	defer k.mu.Unlock()
 	return k.confirmedAt
 }
+
+// Mark identifies the state of one kind at one moment. The zero value is a state that the
+// store never confirmed.
+type Mark struct {
+	lastChanged uint64
+	confirmedAt time.Time
+}
+
+// Mark returns the mark of the current state of a kind. Taken before Objects, it identifies
+// a state that is not newer than the objects.
+func (r *Replica) Mark(name string) Mark {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return Mark{lastChanged: k.lastChanged, confirmedAt: k.confirmedAt}
+}
+
+// ConfirmedAtMark returns when the store last reported a marked state of a kind as
+// complete. If the kind has changed since, later confirmations do not apply to that state.
+func (r *Replica) ConfirmedAtMark(name string, m Mark) time.Time {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lastChanged != m.lastChanged {
+		return m.confirmedAt
+	}
+	return k.confirmedAt
+}
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
@@ -282,3 +283,26 @@
 		})
 	})
 }
+
+// Guards against applying a confirmation to a state that it does not cover.
+func TestConfirmationOfMarkedState(t *testing.T) {
+	const kind = "workers"
+	r, start := object.NewReplica(), time.Now()
+	entry := object.Object{Name: "w", Revision: 1}
+	r.Reset(kind, []object.Object{entry}, 1)
+	r.MarkConfirmed(kind, start)
+	m := r.Mark(kind)
+	r.Apply(kind, 1, nil, 2)
+	r.MarkConfirmed(kind, start.Add(time.Second))
+	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start.Add(time.Second)) {
+		t.Errorf("unchanged state confirmed at %s, want the last confirmation", got.Sub(start))
+	}
+	r.Apply(kind, 2, []object.Event{{Object: entry, Deleted: true}}, 3)
+	r.MarkConfirmed(kind, start.Add(2*time.Second))
+	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start) {
+		t.Errorf("changed state confirmed at %s, want the time of the mark", got.Sub(start))
+	}
+	if got := r.ConfirmedAtMark(kind, r.Mark(kind)); !got.Equal(start.Add(2 * time.Second)) {
+		t.Errorf("new state confirmed at %s, want the last confirmation", got.Sub(start))
+	}
+}
