gateway: keys are judged by the age of the configuration in use

What callers saw: for as long as a VM compiled the first configuration after an outage of the store, up to 0.5 s with the pause after a compilation, a revoked key was served under strict revocation, and a new key was rejected with 401.

The age of the keys was that of the replica, which is confirmed before the configuration in use is replaced.

Until a change is compiled, requests with keys are refused as while the store is away.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -79,8 +79,9 @@
 type Snapshot struct {
 	Routes  *route.Table
 	Workers *worker.Set
-	// WorkersMark identifies the state of the workers' entries that Workers was built from.
-	WorkersMark object.Mark
+	// RoutesMark and WorkersMark identify the states of the configuration and of the
+	// workers' entries that the snapshot was built from.
+	RoutesMark, WorkersMark object.Mark
 	// Closed contains the halls that are closed. Their workers get no requests, except
 	// within the deadlines in Closing.
 	Closed map[string]bool
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -97,6 +97,7 @@
 func (g *Gateway) compile(now time.Time) {
 	c := &g.compiler
 	config := g.replica.LastChanged(g.cfg.Codec.ConfigKind())
+	routesMark := g.replica.Mark(g.cfg.Codec.ConfigKind())
 	g.compileMembers(c)
 	g.compileQuarantine()
 	g.compileRoutes(c)
@@ -110,7 +111,7 @@
 	g.compileRollouts(now)
 	workersMark := g.replica.Mark(g.cfg.Codec.WorkerKind())
 	s := &placement.Snapshot{
-		Routes: c.routes, Workers: g.compileWorkers(c, now), WorkersMark: workersMark, Closed: maps.Clone(c.closed), Closing: maps.Clone(c.drainWindows),
+		Routes: c.routes, Workers: g.compileWorkers(c, now), RoutesMark: routesMark, WorkersMark: workersMark, Closed: maps.Clone(c.closed), Closing: maps.Clone(c.drainWindows),
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
 	}
 	g.snapshot.Store(s)
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ryehill/ryehill/internal/clock"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/workspace"
 	"github.com/ryehill/ryehill/transport/peer"
 )
@@ -114,9 +115,13 @@
 // AdditionsCurrent implements ingress.Keys.
 func (g *Gateway) AdditionsCurrent() bool { return g.configAge() < g.cfg.Bounds.ApplyWithin }
 
-// configAge returns the time since the store last confirmed the configuration.
+// configAge returns the time since the store last confirmed the configuration in use.
 func (g *Gateway) configAge() time.Duration {
-	return clock.Since(g.replica.ConfirmedAt(g.cfg.Codec.ConfigKind()))
+	var inUse object.Mark
+	if s := g.snapshot.Load(); s != nil {
+		inUse = s.RoutesMark
+	}
+	return clock.Since(g.replica.ConfirmedAtMark(g.cfg.Codec.ConfigKind(), inUse))
 }
 
 const (
--- a/internal/gateway/workspaces_test.go
+++ b/internal/gateway/workspaces_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
 	"github.com/ryehill/ryehill/state/workspace"
 )
@@ -116,6 +117,41 @@
 	}
 }
 
+// slowRoutes takes a while to decode every configuration but the first.
+type slowRoutes struct{ codec }
+
+func (c slowRoutes) Routes(o object.Object) (route.Config, error) {
+	cfg, err := c.codec.Routes(o)
+	if cfg.Version > 2 {
+		time.Sleep(slowDecode)
+	}
+	return cfg, err
+}
+
+// Guards against serving a revoked key, or rejecting a new one, before its configuration is compiled.
+func TestKeysOfConfigurationBeingCompiled(t *testing.T) {
+	f := startWorkspaceFleet(t, 1, func(c *gateway.Config, _ *storeClient) {
+		c.Codec = slowRoutes{}
+		c.Bounds.StrictRevocation, c.Bounds.RevokeWithin = true, 1500*time.Millisecond
+	})
+	v := f.vms[0]
+	v.storeClient.setFailure(true, false)
+	f.waitFor("the state is older than RevokeWithin", func() bool { return v.statusWithKey("/", "old") == http.StatusServiceUnavailable })
+	time.Sleep(applyWithin)
+	f.putWorkspaces(3, workspace.Config{Name: "schools", Keys: []string{"new"}})
+	v.storeClient.setFailure(false, false)
+	f.waitFor("the new key is served", func() bool {
+		if got := v.statusWithKey("/", "old"); got == http.StatusOK {
+			t.Fatal("a revoked key is served")
+		}
+		got := v.statusWithKey("/", "new")
+		if got == http.StatusUnauthorized {
+			t.Fatal("a new key is rejected")
+		}
+		return got == http.StatusOK
+	})
+}
+
 // Guards against unknown keys causing an unbounded rate of key fetches.
 func TestUnknownKeysAreRateLimited(t *testing.T) {
 	fetches, now, queries := gateway.NewKeyFetches(), time.Now(), 0
