worker: a confirmation soon after an exit does not make the worker warm

What callers saw: a worker that started again as the store fell silent got up to 39 requests in a second where 21.5 are allowed, and answered them late or failed.

Cause: an exit that a VM knew for certain stopped counting with the first confirmation of the store after it. A watch that is under way as the store falls silent confirms the entries up to 0.6 s later in the tests, before the new process can have written its entry. From then until the store had been silent for 2 s, all VMs took the worker for warm.

An exit now counts until the store has confirmed the entries 1.5 s after it, the time by which it has the entry of a new process; before, that held only after 2 s of silence. In calm an exit thus counts for 1.5 to 2.5 s, unless an answer over an older connection refutes it.

Tests: four cases of TestColdAfterClosedPort held the old rule for right and want the worker cold earlier or for longer now (stricter); they fail before.

--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -97,8 +97,10 @@
 			return false
 		}
 	}
+	// An earlier confirmation can still show the entry of the predecessor.
+	unconfirmed := storeConfirmed.Before(started.Add(startPropagation))
 	silent := now.Sub(storeConfirmed) > storeSilentAfter
-	return storeConfirmed.Before(started) && !l.uncertain || silent && storeConfirmed.Before(started.Add(startPropagation))
+	return unconfirmed && (silent || !l.uncertain)
 }
 
 // exitObservationSkew is the maximum time between an exit and its observation. Responses in
--- a/state/worker/incarnation_test.go
+++ b/state/worker/incarnation_test.go
@@ -30,7 +30,7 @@
 
 // A worker that restarts behind a stale store entry must not count as warm.
 func TestColdAfterClosedPort(t *testing.T) {
-	const coldStart, observed = 8 * time.Second, 12 * time.Second
+	const coldStart, observed, startPropagation = 8 * time.Second, 12 * time.Second, 1500 * time.Millisecond
 	cases := map[string]struct {
 		event func(l *worker.Load) bool
 		// storeConfirms is set if the store keeps confirming its data.
@@ -45,12 +45,12 @@
 		"refused":                        {(*worker.Load).RecordConnectionRefused, true, 0, 3 * time.Second, 0, 0},
 		"refused, store silent":          {(*worker.Load).RecordConnectionRefused, false, 0, observed, 0, 0},
 		"refused, response after 2 s":    {(*worker.Load).RecordConnectionRefused, false, 0, coldStart + 2*time.Second, 2 * time.Second, 0},
-		"closed":                         {(*worker.Load).RecordAllConnectionsClosed, true, 0, 0, 0, 0},
-		"closed, store silent":           {(*worker.Load).RecordAllConnectionsClosed, false, 2500 * time.Millisecond, observed, 0, 0},
-		"closed, response after 1 s":     {(*worker.Load).RecordAllConnectionsClosed, false, time.Second, coldStart, time.Second, 0},
+		"closed":                         {(*worker.Load).RecordAllConnectionsClosed, true, 0, startPropagation, 0, 0},
+		"closed, store silent":           {(*worker.Load).RecordAllConnectionsClosed, false, 0, observed, 0, 0},
+		"closed, response after 1 s":     {(*worker.Load).RecordAllConnectionsClosed, false, 0, coldStart + time.Second, time.Second, 0},
 		"closed, store silent for 0.3 s": {(*worker.Load).RecordAllConnectionsClosed, false, 0, observed, 0, 300 * time.Millisecond},
 		"closed, response after 0.5 s":   {(*worker.Load).RecordAllConnectionsClosed, false, 0, coldStart + 500*time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond},
-		"closed, store confirms":         {(*worker.Load).RecordAllConnectionsClosed, true, 0, 0, 0, 300 * time.Millisecond},
+		"closed, store confirms":         {(*worker.Load).RecordAllConnectionsClosed, true, 0, startPropagation, 0, 300 * time.Millisecond},
 		"one closed, store silent":       {(*worker.Load).RecordConnectionClosed, false, 2 * time.Second, observed, 0, 300 * time.Millisecond},
 		"one closed, store confirms":     {(*worker.Load).RecordConnectionClosed, true, 0, 0, 0, 300 * time.Millisecond},
 		"one closed, then all":           {func(l *worker.Load) bool { return l.RecordConnectionClosed() && l.RecordAllConnectionsClosed() }, false, 0, observed, 0, 300 * time.Millisecond},
