worker: a peer's certain evidence makes an uncertain exit certain

What callers saw: one VM went on sending to a worker that had just started again as if it were warm, although other VMs told it of the exit several times a second.

Cause: a VM whose one connection broke under a request holds the exit as uncertain. What others tell of the same exit lies within the window for repeated observations and was ignored, with the certainty that it brings.

A report of the same exit now makes it certain. An exit that is restored after a retraction gets its own certainty back.

--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -52,8 +52,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first = l.isNewExit(l.now())
-	l.uncertain = first || l.uncertain
+	uncertain := first || l.uncertain
 	l.recordExit(l.now())
+	l.uncertain = uncertain
 	l.constrained.add(l)
 	return first
 }
@@ -65,12 +66,15 @@
 }
 
 // exit is a suspected exit of a process and the first response after it at any VM.
-type exit struct{ at, respondedAt time.Time }
+type exit struct {
+	at, respondedAt time.Time
+	uncertain       bool
+}
 
 // recordExit records a suspected exit, which may be retracted later.
 func (l *Load) recordExit(at time.Time) {
 	if l.previousExit.at.IsZero() || at.Sub(l.previousExit.at) >= maxUnconfirmedCold {
-		l.previousExit = exit{l.exitedAt, l.respondedAt}
+		l.previousExit = exit{l.exitedAt, l.respondedAt, l.uncertain}
 	}
 	l.exitedAt = at
 }
@@ -137,10 +141,11 @@
 		return false
 	}
 	l.noExitDuring = s
-	l.exitedAt, l.respondedAt, l.previousExit = l.previousExit.at, l.previousExit.respondedAt, exit{}
-	if s.contains(l.exitedAt) {
-		l.exitedAt, l.respondedAt = time.Time{}, time.Time{}
+	previous := l.previousExit
+	if s.contains(previous.at) {
+		previous = exit{}
 	}
+	l.exitedAt, l.respondedAt, l.uncertain, l.previousExit = previous.at, previous.respondedAt, previous.uncertain, exit{}
 	return true
 }
 
--- a/state/worker/exit_test.go
+++ b/state/worker/exit_test.go
@@ -80,3 +80,37 @@
 		t.Error("cold 7 s after its start")
 	}
 }
+
+// An uncertain exit must become certain once another VM has certain evidence of it.
+func TestPeerConfirmsUncertainExit(t *testing.T) {
+	const coldStart = 5 * time.Second
+	cases := map[string]struct {
+		// reported is the time of the reported exit relative to the uncertain one.
+		reported time.Duration
+		// respondedAfter is when a response over an older connection refuted the uncertain
+		// exit, 0 for never.
+		respondedAfter time.Duration
+		cold           bool
+	}{
+		"the same exit":           {100 * time.Millisecond, 0, true},
+		"just before":             {-100 * time.Millisecond, 0, true},
+		"a much earlier exit":     {-3 * time.Second, 0, false},
+		"an exit already refuted": {100 * time.Millisecond, 400 * time.Millisecond, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			clock.Advance(time.Minute)
+			l, exitedAt := worker.NewLoads(clock.Now).GetOrCreate("w"), clock.Now()
+			l.RecordConnectionClosed()
+			clock.Advance(600 * time.Millisecond)
+			if c.respondedAfter > 0 {
+				l.ConfirmAlive(exitedAt.Add(-time.Second))
+			}
+			l.Observe(worker.SuspectedExit{At: exitedAt.Add(c.reported)})
+			if got := l.MayBeCold(clock.Now(), coldStart); got != c.cold {
+				t.Errorf("MayBeCold is %t", got)
+			}
+		})
+	}
+}
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -129,10 +129,16 @@
 // retraction of an earlier one.
 func (l *Load) observeExit(e SuspectedExit) (first bool) {
 	l.retractOutlivedExit(e.NoExitDuring)
-	if first = l.isNewExit(e.At) && !l.noExitDuring.contains(e.At); first {
+	switch {
+	case l.noExitDuring.contains(e.At):
+	case l.isNewExit(e.At):
+		first = true
 		l.recordExit(e.At)
 		l.uncertain = false
 		l.retractOutlivedExit(l.provenAlive)
+	case l.uncertain && l.exitedAt.Sub(e.At) <= duplicateSignalWindow:
+		first = true
+		l.uncertain = false
 	}
 	noResponse := l.respondedAt.Before(l.lastExit())
 	if e.RespondedAt.After(l.lastExit()) && (noResponse || e.RespondedAt.Before(l.respondedAt)) {
