worker: a lost response does not hide a certain exit

TestLostResponseAfterExit fails before. While a certain exit may still count, a later one is certain too.

--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -52,13 +52,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	first = l.isNewExit(l.now())
-	uncertain := first || l.uncertain
+	uncertain := l.uncertain || first && !l.certainExitInForce()
 	l.recordExit(l.now())
 	l.uncertain = uncertain
 	l.constrained.add(l)
 	return first
 }
 
+// certainExitInForce reports whether a known exit may still make the worker count as cold
+// while the store is not silent.
+func (l *Load) certainExitInForce() bool {
+	last := later(l.lastExit(), l.respondedAt)
+	return !l.uncertain && l.now().Sub(last) < startPropagation+storeSilentAfter
+}
+
 // isNewExit reports whether an exit at the given time is not an observation of the last
 // known one.
 func (l *Load) isNewExit(at time.Time) bool {
--- a/state/worker/exit_test.go
+++ b/state/worker/exit_test.go
@@ -114,3 +114,17 @@
 		})
 	}
 }
+
+// A lost response must not make a worker that has just exited count as warm.
+func TestLostResponseAfterExit(t *testing.T) {
+	const coldStart = 5 * time.Second
+	clock := clockwork.NewFakeClock()
+	l := worker.NewLoads(clock.Now).GetOrCreate("w")
+	confirmed := clock.Now()
+	l.RecordAllConnectionsClosed()
+	clock.Advance(1100 * time.Millisecond)
+	l.RecordConnectionClosed()
+	if !l.MayBeCold(confirmed, coldStart) {
+		t.Error("warm 1.1 s after its exit")
+	}
+}
