ingress, upstream: probes a worker whose only known connection broke

Cause: only the VM that had sent the request had a connection, and one broken connection may be a lost answer. Such an exit does not count, and is not told, before the store has been silent for 2 s. No VM had better evidence, since nobody looked.

The VM now opens a connection at once, and again 0.1 s later, when one breaks under a request. A refusal shows that the process has ended; it counts and is told at once. A lost answer leaves the port open, so it costs two connections and nothing else. No request is sent.

--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -179,3 +179,33 @@
 		return true
 	})
 }
+
+// Guards against treating a worker as warm after one VM's only connection to it broke.
+func TestOneBrokenConnectionRevealsExit(t *testing.T) {
+	const spreadWithin = time.Second
+	f := newFleet(t)
+	f.store.put(kindConfig, "main", route.Config{
+		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 5 * time.Second}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 3 * time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+	})
+	m := &crashWorkers{}
+	t.Cleanup(m.close)
+	m.start(f, "w0", "north-a")
+	for i := range 3 {
+		f.startVM(fmt.Sprintf("v%d", i), "north-a", nil)
+	}
+	for _, v := range f.vms {
+		f.waitFor(v.name+" knows all VMs", func() bool { return len(f.resolvedAddresses(v, "north")) == 3 })
+	}
+	f.setStoreUnavailable(true)
+	time.Sleep(300 * time.Millisecond)
+	f.vms[0].sendRequest(poisonPath)
+	f.waitWithin(spreadWithin, "all VMs treat the worker as cold", func() bool {
+		for _, v := range f.vms {
+			if !v.IsCold("w0") {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -22,13 +22,14 @@
 )
 
 // RecordConnectionRefused records that the worker's port refused a connection, which means
-// that its process has exited. It reports whether no exit was known within
-// duplicateSignalWindow.
+// that its process has exited. It reports whether no exit, or only an uncertain one, was
+// known within duplicateSignalWindow.
 func (l *Load) RecordConnectionRefused() (first bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	first = l.isNewExit(l.now())
-	l.refusedAt = l.now()
+	first = l.isNewExit(l.now()) || l.uncertain
+	l.refusedAt, l.uncertain = l.now(), false
+	l.constrained.add(l)
 	return first
 }
 
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -129,10 +129,11 @@
 	trackedAttempt := q.startRolloutAttempt(c)
 	stopTimer := q.startSilenceTimer(ctx, cancel, attemptNumber)
 	q.sentAt = q.handler.cfg.Now()
-	res, err := q.handler.cfg.Upstreams.Do(ctx, q.target(s, c), q.upstreamRequest(w.ID))
+	target := q.target(s, c)
+	res, err := q.handler.cfg.Upstreams.Do(ctx, target, q.upstreamRequest(w.ID))
 	next := stopTimer()
 	if err != nil {
-		failed := q.classifyFailure(c, err)
+		failed := q.classifyFailure(c, target, err)
 		trackedAttempt.failed(failed)
 		return failed, next
 	}
@@ -227,7 +228,7 @@
 }
 
 // classifyFailure classifies the error of an attempt and updates the worker's state.
-func (q *request) classifyFailure(c placement.Choice, err error) *failure {
+func (q *request) classifyFailure(c placement.Choice, target upstream.Worker, err error) *failure {
 	f := &failure{cause: retry.CauseBroken, err: err}
 	var failed *upstream.Error
 	if !errors.As(err, &failed) {
@@ -267,6 +268,7 @@
 			f.peerClosed = true
 			if c.Load().RecordConnectionClosed() {
 				q.logExit(c, exitOneConnection)
+				go q.probeForExit(c, target)
 			}
 			q.reportHangUp(c)
 		}
--- a/transport/ingress/signals.go
+++ b/transport/ingress/signals.go
@@ -4,12 +4,17 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/state/worker"
+	"github.com/ryehill/ryehill/transport/upstream"
 )
 
 // reasonSignal is the reason under which log lines on worker signals are limited.
@@ -100,6 +105,26 @@
 	q.logSignal("workers: process may have exited", c.Worker(), "evidence", evidence)
 }
 
+// exitProbeDelay is the time between the two probes after a closed connection. The port may
+// stay open for a moment after the first connections of an exiting process are closed.
+const exitProbeDelay = 100 * time.Millisecond
+
+// probeForExit checks whether a worker that closed one connection still accepts new ones.
+// A refused connection shows that its process has exited, which the closed connection alone
+// doesn't.
+func (q *request) probeForExit(c placement.Choice, target upstream.Worker) {
+	for _, delay := range []time.Duration{0, exitProbeDelay} {
+		time.Sleep(delay)
+		err := q.handler.cfg.Upstreams.Probe(context.Background(), target)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			if c.Load().RecordConnectionRefused() {
+				q.logExit(c, exitRefused)
+			}
+			return
+		}
+	}
+}
+
 // logSignal logs a line on a signal, unless too many were logged.
 func (q *request) logSignal(message string, w worker.Worker, values ...any) {
 	suppressed, ok := q.handler.logLimiter.allow(reasonSignal)
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -300,6 +300,16 @@
 		idle.close()
 		foundClosed = true
 	}
+	created, err := c.open(ctx, p, w)
+	if err != nil {
+		return nil, err
+	}
+	created.reconnected = foundClosed
+	return created, nil
+}
+
+// open opens a connection within the worker's connection limit.
+func (c *Client) open(ctx context.Context, p *pool, w Worker) (*conn, error) {
 	if !p.reserve(w.MaxConnections) {
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
 	}
@@ -311,10 +321,21 @@
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
 	created := newConn(raw, p, c.cfg.IdleTimeout)
-	created.processStart, created.reconnected, created.opened = w.Start, foundClosed, c.cfg.Now()
+	created.processStart, created.opened = w.Start, c.cfg.Now()
 	return created, nil
 }
 
+// Probe opens and closes a connection to a worker without sending a request. It returns
+// the error of Do if that fails.
+func (c *Client) Probe(ctx context.Context, w Worker) error {
+	probed, err := c.open(ctx, c.pool(w.Address), w)
+	if err != nil {
+		return err
+	}
+	probed.close()
+	return nil
+}
+
 // closeOlderThan closes all idle connections if start is that of a newer process
 // than any seen before.
 func (p *pool) closeOlderThan(start uint64) {
