gateway: a VM that its parent serves does not watch the store for others

What callers saw: two VMs of a large region watched the store where one is enough, so that a part of the region had another root, and VMs with different roots do not get each other's reports on workers. TestDeepTree failed with [north-b-0 north-b-1].

Cause: a VM whose request the root answers late, once, passes the root over for 3 s and asks the VM next in rank. That VM watched the store because it was asked, although the root served it: one late answer to one of 35 VMs was enough for a second root.

Evidence: the logs of two plays that failed so: "watchers: parent does not answer", reply from north-b-0, at 12 VMs within 0.5 s, no answer of the store failed, and north-b-1 was then asked.

A VM that is asked as the root now watches only while no parent of its own serves it: no reply with current state within the time in which the next one is due. Until then it passes on what it gets. VMs whose root is gone or stale notice that in the same time as those that ask them.

TestVMServedByItsParentDoesNotWatch fails 2 of 2 times before (5 calls to the store) and passes 2 of 2 times. TestDeepTree with the race detector, GOMAXPROCS=3, two at a time, beside 14 busy processes: 6 of 6 plays fail before, 1 of 6 now, in which the state of five VMs became older than the age at which each VM calls the store itself (3.6 s of 3.2).

--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -23,6 +23,9 @@
 	// newParentGrace is how long a new parent has until its state must be current. It
 	// covers one reply, and a call to the store from the farthest region.
 	newParentGrace = 2 * maxSyncHold
+	// parentReplyValidity is how long after a reply the parent still counts as serving this
+	// VM: until the next reply is due at the latest.
+	parentReplyValidity = maxSyncHold + syncReplyGrace
 	// rootChildHold is how long a root may hold the requests of its direct children,
 	// which serve the other VMs of their halls.
 	rootChildHold = 150 * time.Millisecond
@@ -43,6 +46,7 @@
 	mu          sync.Mutex
 	lastRequest time.Time // time of the last request from another VM
 	ownParent   bool      // this VM is its own parent
+	parentReply time.Time // time of the last reply of another parent with current state
 	wake        chan struct{}
 	avoided     *avoided
 }
@@ -56,7 +60,10 @@
 	w := g.watchers
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.ownParent || clock.Since(w.lastRequest) < watchAfterRequest
+	if w.ownParent {
+		return true
+	}
+	return clock.Since(w.lastRequest) < watchAfterRequest && clock.Since(w.parentReply) >= parentReplyValidity
 }
 
 // watchRequested returns a channel that is closed once this VM has to check whether to
@@ -75,6 +82,13 @@
 	w.notifyLocked()
 }
 
+// recordParentReply records a reply of another parent whose state is current.
+func (w *watchers) recordParentReply(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.parentReply = now
+}
+
 func (w *watchers) setOwnParent(self bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -172,6 +186,8 @@
 		case age > g.maxParentAge(parent) && now.Sub(current.since) > newParentGrace:
 			g.log.Info("watchers: what one knows is old", "peer", parent.ID, "age_ms", age.Milliseconds())
 			g.avoidParent(parent.Member, "old knowledge", now)
+		case parent.ID != g.cfg.VM && age <= g.maxParentAge(parent):
+			g.watchers.recordParentReply(clock.Now())
 		}
 	}
 }
--- a/internal/gateway/watchers_test.go
+++ b/internal/gateway/watchers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/protocol/peerpb"
 )
 
 // longStaleAfter is the age of state at which VMs of these tests call the store; a watch is
@@ -86,3 +87,21 @@
 	// The wait between two failing calls is at most 0.6 s.
 	f.waitWithin(900*time.Millisecond, "the VM's state is fresh", func() bool { return v.StateAge() < longStaleAfter/2 })
 }
+
+// Guards against a second watcher because some VMs got one late reply from the first.
+func TestVMServedByItsParentDoesNotWatch(t *testing.T) {
+	const requestInterval = 100 * time.Millisecond
+	_, vms := startLongStaleVMs(t, 4)
+	_, others := watcherDuring(t, 2*longStaleAfter, vms)
+	asked := others[0]
+	before := asked.storeClient.callCount("watch " + kindConfig)
+	for start := time.Now(); time.Since(start) < 2*longStaleAfter; time.Sleep(requestInterval) {
+		asked.SyncReply(t.Context(), &peerpb.Sync{HoldMillis: 1, Depth: 1})
+	}
+	if calls := asked.storeClient.callCount("watch "+kindConfig) - before; calls > 0 {
+		t.Errorf("a VM that its parent serves called the store %d times", calls)
+	}
+	if age := asked.StateAge(); age >= longStaleAfter {
+		t.Errorf("its state is %s old", age)
+	}
+}
