gateway: tests that a region recovers from an overload

While its VMs answer each other too late, all VMs of a large region call the store, which is what an overloaded region needs least. TestDeepTreeRecoversFromOverload shows that this ends by itself: all traffic between 36 VMs stands still for two times the age at which a VM calls the store; afterwards one VM watches again and all state is current. The bound is the users' recovery of 15 s.

--- a/internal/gateway/deep_test.go
+++ b/internal/gateway/deep_test.go
@@ -4,10 +4,13 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,6 +106,89 @@
 	})
 }
 
+// stall delays all traffic between VMs while it is active.
+type stall struct {
+	mu    sync.Mutex
+	ended chan struct{} // nil while not active
+}
+
+func (s *stall) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = make(chan struct{})
+}
+
+func (s *stall) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.ended)
+	s.ended = nil
+}
+
+// stalledConn is a connection that delivers nothing while the stall is active.
+type stalledConn struct {
+	net.Conn
+	stall *stall
+}
+
+// Read implements net.Conn.
+func (c stalledConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.stall.mu.Lock()
+	ended := c.stall.ended
+	c.stall.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+	return n, err
+}
+
+// Guards against VMs of an overloaded region still calling the store after the overload.
+func TestDeepTreeRecoversFromOverload(t *testing.T) {
+	const recoversWithin = 15 * time.Second
+	s := &stall{}
+	f := startDeepFleet(t, func(cfg *gateway.Config, _ *storeClient) {
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return stalledConn{conn, s}, err
+		}
+	})
+	f.waitSettled()
+	s.begin()
+	time.Sleep(longStaleAfter)
+	if n := f.countWatching(longStaleAfter); n < len(f.vms)/2 {
+		t.Errorf("only %d VMs called the store during the overload", n)
+	}
+	s.end()
+	ended := time.Now()
+	for watching := len(f.vms); watching != 1; {
+		if time.Since(ended) > recoversWithin {
+			t.Fatalf("%d VMs call the store %s after the overload", watching, time.Since(ended))
+		}
+		watching = f.countWatching(longStaleAfter)
+	}
+	t.Logf("one VM watches the store %s after the overload", time.Since(ended))
+	if age := maxStateAge(time.Second, f.vms...); age >= longStaleAfter {
+		t.Errorf("state is %s old", age)
+	}
+}
+
+// countWatching returns how many VMs call the store's watch within a span.
+func (f deepFleet) countWatching(span time.Duration) int {
+	before := make(map[string]int)
+	for _, v := range f.vms {
+		before[v.name] = v.storeClient.callCount("watch " + kindConfig)
+	}
+	time.Sleep(span)
+	n := 0
+	for _, v := range f.vms {
+		if v.storeClient.callCount("watch "+kindConfig) > before[v.name] {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a worker's reported load not reaching VMs of the other hall.
 func TestLoadsCrossDeepTree(t *testing.T) {
 	f := startDeepFleet(t, nil)
