ingress: TestFullWorkerRefusesImmediately begins when the worker is full

The test began when eight requests were in flight at the VM, not when they had taken the worker's places, so that under load its ninth request took a place and ran into its time. It now waits until all eight have reached the worker and fails if they don't; they hold their places for 10 s instead of 0.9 s. What is checked of the ninth request is unchanged.

--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -429,10 +429,18 @@
 	defer close(release)
 	const capacity = 8 // twice the slots of the worker
 	for i := range capacity {
-		go f.send(http.MethodPost, "/pay/", fmt.Sprint("busy", i), "", "Wait", "900")
+		go f.send(http.MethodPost, "/pay/", fmt.Sprint("busy", i), "", "Wait", "10000")
 	}
-	for deadline := time.Now().Add(time.Second); f.handler.InFlight() < capacity && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
+	arrived := func() (n int) {
+		for i := range capacity {
+			n += len(f.ran(fmt.Sprint("busy", i)))
+		}
+		return n
+	}
+	for deadline := time.Now().Add(5 * time.Second); arrived() < capacity; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("only %d of %d requests reached the worker", arrived(), capacity)
+		}
 	}
 	r := f.send(http.MethodPost, "/pay/", "last", "", "Wait", "900")
 	if r.status != http.StatusServiceUnavailable || r.took > 200*time.Millisecond || r.header.Get("Retry-After") == "" {
