--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -50,7 +50,7 @@
 off caps-bind-balance coordination/placement/steer.go 'if !within || !c.SpendCaps() {' 'if false && (!within || !c.SpendCaps()) {' ./coordination/placement TestCapsLimitTheBalance
 off moves-steer coordination/placement/steer.go 'if c.Rule() != steer.RuleMove || !c.Spend() {' 'if true {' ./internal/gateway TestDrainOfAHall
 off write-known-again internal/gateway/traffic.go 'case err == nil && lastOperation == operation && current > 0:' 'case false && lastOperation == operation:' ./internal/gateway TestLostAnswerToAStop
-off lapse-grace internal/gateway/outage.go 'if !now.Before(graceEnd) {' 'if true {' ./internal/gateway TestEntriesThatLapse
+off lapse-grace internal/gateway/outage.go 'if !now.Before(outage.graceEnd()) {' 'if true {' ./internal/gateway TestEntriesThatLapse
 off outliers-together internal/gateway/outliers.go 'if len(reported) == 0 || len(reported) > maxOutcomes {' 'if true {' ./internal/gateway TestVMsEjectFailingWorkerTogether
 off most-spared coordination/placement/eligible.go 'if float64(len(ejected)) > maxEjectedShare' 'if false && float64(len(ejected)) > maxEjectedShare' ./coordination/placement TestEjectedWorkers
 off time-over-is-no-failure transport/ingress/attempt.go 'return errors.Is(err, context.DeadlineExceeded) ||' 'return false && errors.Is(err, context.DeadlineExceeded) &&' ./transport/ingress TestWorkerOutcomes
@@ -59,7 +59,7 @@
 off soak-closed coordination/placement/handover.go '!closing.Open(now) {' 'false && !closing.Open(now) {' ./platform 'TestSoak$'
 off soak-stop internal/gateway/stop.go 'if err := g.clientServer.Shutdown(ctx); err != nil {' 'if err := g.clientServer.Close(); err != nil {' ./platform 'TestSoak$'
 off holders-stay coordination/balance/balance.go 'if ok && holder.worker.Region == l.worker.Region {' 'if ok {' ./coordination/balance TestKeysStayInTheirRegion
-off holders-table coordination/placement/placement.go 'if !r.Keyed {
+off holders-table coordination/placement/ranking.go 'if !r.Keyed {
 		return list' 'if true {
 		return list' ./coordination/placement TestHolderTable
 off holders-kept coordination/balance/balance.go 's.retainHolders(b.lastHolders, change)' '' ./coordination/balance TestKeysStayWhenAWorkerJoins
@@ -81,10 +81,10 @@
 off unsent-is-free coordination/retry/retry.go 'case a.HomeFallback, a.Unsent && a.Number < maxUnsent:' 'case a.HomeFallback:' ./transport/ingress TestUnreachableWorkersUseNoRetries
 off cold-owner coordination/placement/cold.go 'if len(owner) == 0 || owner[0] != c.cfg.VM {' 'if len(owner) == 0 {' ./coordination/placement TestColdRateOfAllVMs
 off cold-isolated coordination/placement/cold.go 'if 2*len(live) < listed {' 'if false && 2*len(live) < listed {' ./coordination/placement 'TestColdRateOfAllVMs|TestColdRateOfIsolatedVMs'
-off closed-halls coordination/placement/handover.go '|| s.Closed[w.Hall] && !s.Closing[w.Hall].Open(now)' '' ./coordination/placement TestIneligibleWorkersGetNothing
-off homes coordination/placement/placement.go 'r.Allows != nil && !r.Allows(w.Region) {' 'r.Allows != nil && r.Allows == nil {' ./coordination/placement TestRegionsShare
+off closed-halls coordination/placement/handover.go 'if s.Closed[w.Hall] {' 'if false && s.Closed[w.Hall] {' ./coordination/placement TestIneligibleWorkersGetNothing
+off homes coordination/placement/eligible.go 'r.Allows != nil && !r.Allows(w.Region) ||' 'r.Allows != nil && r.Allows == nil ||' ./coordination/placement TestRegionsShare
 off split-corrects coordination/placement/split.go 'if surplus[chosen] > splitSlack {' 'if false && surplus[chosen] > splitSlack {' ./coordination/placement TestSplit
-off stale-calls-store internal/gateway/watch.go 'case time.Since(g.replica.Confirmed(kind)) >= g.cfg.StaleAfter:' 'case time.Since(g.replica.Confirmed(kind)) >= 100*g.cfg.StaleAfter:' ./internal/gateway TestChangesDoNotDependOnTheWatcher
+off stale-calls-store internal/gateway/watch.go 'clock.Since(g.replica.ConfirmedAt(kind)) >= g.cfg.StaleAfter:' 'clock.Since(g.replica.ConfirmedAt(kind)) >= 100*g.cfg.StaleAfter:' ./internal/gateway TestChangesDoNotDependOnTheWatcher
 off older-config internal/gateway/compile.go 'if c.routes != nil && cfg.Version < c.routes.Version() {' 'if false && cfg.Version < c.routes.Version() {' ./internal/gateway TestWorkersAndHalls
 off replica-list-leaves-a-gap state/object/kind.go 'k.gaps = append(k.gaps, gap{from: k.revision, to: upTo})' '_ = gap{from: k.revision, to: upTo}' ./state/object TestDeletionBetweenLists
 off replica-list-keeps-history state/object/kind.go 'if !k.initialized {
@@ -100,7 +100,7 @@
 off quota-one-pool coordination/ratelimit/lender.go 'if pool != l.pool && now.Before(l.until) {' 'if false {' ./coordination/ratelimit TestRestartsAndNewPoolsAddNoTokens
 off quota-starts-empty coordination/ratelimit/local.go 'b := &bucket{lastRefill: s.createdAt}' 'b := &bucket{lastRefill: s.createdAt, tokens: 1e9}' ./coordination/ratelimit TestRestartsAndNewPoolsAddNoTokens
 off bound-slots coordination/placement/share.go 'if r.unrestricted(regions) {' 'if false {' ./coordination/placement TestPinnedRequestsReduceKeptKeys
-off quota-turns coordination/ratelimit/pool.go 'b.promised = b.promised.Add(time.Duration(float64(time.Second) / f.rate))' '_ = f' ./coordination/ratelimit TestRefusedRequestsComeBackInTurn
+off quota-turns coordination/ratelimit/pool.go 's.reservedUntil = s.reservedUntil.Add(time.Duration(float64(time.Second) / params.rate))' '_ = params' ./coordination/ratelimit TestRefusedRequestsComeBackInTurn
 off answer-time-is-not-held internal/gateway/sync.go 'reply.HeldMillis = uint32(held.Milliseconds())' 'reply.HeldMillis = uint32(time.Since(received).Milliseconds())' ./internal/gateway TestTimeToBuildAReply
 off watcher-passed-over internal/gateway/watchers.go 'case age > g.maxParentAge(parent) &&' 'case false &&' ./internal/gateway TestWatcherWithoutStore
 off watch-held-for-less internal/gateway/watch.go 'return min(max(g.cfg.WatchHold+maxSyncHold-age, minHold)' 'return min(max(g.cfg.WatchHold+maxSyncHold-0*age, minHold)' ./internal/gateway TestWatchIsHeldForLess
@@ -181,15 +181,22 @@
 off limit-urgent-first coordination/ratelimit/issuer.go 'reserve := priorityReserve * float64(' 'reserve := 0 * float64(' ./coordination/ratelimit TestIssuerServesUrgent
 off soak-limit internal/gateway/gateway.go 'Demand: g.balancer.meter, Permits: g.permits,' 'Demand: g.balancer.meter,' ./platform 'TestSoak$/seed_21004'
 off lapsed-tells-of-no-end coordination/placement/placement.go 'if !w.Confirmed.IsZero() {' 'if false {' ./internal/gateway TestLapsedEntryTells
-off ends-heeded-at-once state/worker/loads.go 'return confirmed.Before(started) ||' 'return' ./internal/gateway TestWorkerThatReturnsAs
-off ended-told internal/gateway/signals.go 'signals.Ended; silent &&' 'signals.Ended; false && silent &&' ./internal/gateway TestVMsShareSuspectedExits
+off ends-heeded-at-once state/worker/exit.go 'return unconfirmed && (silent ||' 'return unconfirmed && silent && (silent ||' ./internal/gateway TestWorkerThatReturnsAs
+off ended-told internal/gateway/signals.go 'exit := signals.Exit; exit.Unconfirmed(' 'exit := signals.Exit; false && exit.Unconfirmed(' ./internal/gateway TestVMsShareSuspectedExits
+off exit-until-start-shows state/worker/exit.go 'started.Add(startPropagation))' 'started)' ./state/worker TestColdAfterClosedPort
+off exit-known-by-peers state/worker/signal.go 'case l.uncertain && l.exitedAt' 'case false && l.exitedAt' ./state/worker TestPeerConfirms
+off exit-stays-certain state/worker/exit.go 'first && !l.certainExitInForce()' 'first' ./state/worker TestLostResponseAfterExit
+off exit-probed transport/ingress/attempt.go 'go q.probeForExit(c, target)' '' ./internal/gateway TestOneBrokenConnection
+off confirmed-as-compiled internal/gateway/gateway.go 'g.replica.ConfirmedAtMark(cfg.Codec.WorkerKind(), s.WorkersMark)' 'g.replica.ConfirmedAt(cfg.Codec.WorkerKind())' ./internal/gateway TestConfirmationAppliesWith
+off keys-as-compiled internal/gateway/keys.go 'g.replica.ConfirmedAtMark(g.cfg.Codec.ConfigKind(), inUse)' 'g.replica.ConfirmedAtMark(g.cfg.Codec.ConfigKind(), g.replica.Mark(g.cfg.Codec.ConfigKind()))' ./internal/gateway TestKeysOfConfiguration
+off served-does-not-watch internal/gateway/watchers.go '&& clock.Since(w.parentReply) >= parentReplyValidity' '' ./internal/gateway TestVMServedByItsParent
 off word-outlives-entry state/worker/signal.go 'now.Sub(s.leaving.ObservedAt) < leavingRetention)' 'false)' ./state/worker TestLeavingOutlives
 off earliest-word-binds state/worker/signal.go 'first || s.Until.Before(l.signals.leaving.Until)' 'true' ./state/worker TestEarliestLeaving
 off rest-to-its-end state/worker/signal.go 'end.After(s.restEnd) {' 'true || end.After(s.restEnd) {' ./state/worker TestRestIsNotShortened
 off return-ramp state/worker/signal.go 's.allowance = 1' 's.allowance = 0' ./state/worker TestRampAfterRest
-off cold-from-return state/worker/loads.go 'if l.respondedAt.After(started) {' 'if false {' ./state/worker TestColdAfterClosedPort
-off ends-outlived state/worker/loads.go 'if l.exitedAt.IsZero() || !s.contains(l.exitedAt) {' 'if true {' ./state/worker TestOutlivedExit
-off rest-moves-few coordination/placement/placement.go 'if r.displaced {' 'if false && r.displaced {' ./internal/experiment TestRestsKept
+off cold-from-return state/worker/exit.go 'if l.respondedAt.After(started) {' 'if false {' ./state/worker TestColdAfterClosedPort
+off ends-outlived state/worker/exit.go 'if l.exitedAt.IsZero() || !s.contains(l.exitedAt) {' 'if true {' ./state/worker TestOutlivedExit
+off rest-moves-few coordination/placement/search.go 'if r.displaced {' 'if false && r.displaced {' ./internal/experiment TestRestsKept
 off rest-keeps-regions coordination/placement/placement.go 'p.chooseDestination(s, r, workers.availableOrResting())' 'p.chooseDestination(s, r, workers.available)' ./coordination/placement TestRestMovesOnly
 off clock-sleeps internal/clock/clock.go 's.slept = slept' '' ./internal/clock TestSuspensionsCount
 off rollout-share coordination/rollout/splitter.go 's.sent+1 <= shareMargin*s.cfg.MaxFraction*s.requests+s.start' 's.sent+1 <= shareMargin*s.requests+s.start' ./coordination/rollout 'TestSplitterStaysWithinShare|TestBadVersions'
