--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -209,3 +209,25 @@
 		return true
 	})
 }
+
+// Guards against losing a leaving signal that a restarted worker sent before its entry arrived.
+func TestLeavingSignalBeforeEntryOfRestartedWorker(t *testing.T) {
+	f := newFleet(t)
+	restarting := f.startSignalWorker("w", "north-a")
+	first, second := restarting.workerEntry("north-a", 1), restarting.workerEntry("north-a", 2)
+	first.ID, second.ID = "w", "w"
+	f.store.put(kindWorkers, "w", first)
+	v := f.startVM("a", "north-a", nil)
+	f.waitFor("the VM knows the first incarnation", func() bool { return v.ready() && v.KnowsIncarnation(first.Incarnation()) })
+	v.RecordConnectionsClosed(first.Incarnation())
+	restarting.setLeaving(true)
+	f.waitFor("the VM has the signal", func() bool {
+		v.sendRequest("/")
+		return v.IsLeaving(first.Incarnation())
+	})
+	f.store.put(kindWorkers, "w", second)
+	f.waitFor("the VM knows the second incarnation", func() bool { return v.KnowsIncarnation(second.Incarnation()) })
+	if !v.IsLeaving(second.Incarnation()) {
+		t.Error("the signal was dropped with the first incarnation")
+	}
+}
