--- a/internal/gateway/watchers_test.go
+++ b/internal/gateway/watchers_test.go
@@ -19,7 +19,7 @@
 func withLongStaleAfter(cfg *gateway.Config, _ *storeClient) { cfg.StaleAfter = longStaleAfter }
 
 // startLongStaleVMs starts n VMs of one region and waits until they resolve each other.
-func startLongStaleVMs(t *testing.T, n int) (*fleet, []*vm) {
+func startLongStaleVMs(t *testing.T, n int) []*vm {
 	f := newFleet(t)
 	f.startWorker("w1", "s", "north-a")
 	vms := make([]*vm, n)
@@ -29,7 +29,7 @@
 	for _, v := range vms {
 		f.waitFor(v.name+" knows all VMs", func() bool { return len(f.resolvedAddresses(v, "north")) == n })
 	}
-	return f, vms
+	return vms
 }
 
 // maxStateAge returns the highest state age of the VMs during span.
@@ -52,7 +52,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			_, vms := startLongStaleVMs(t, 5)
+			vms := startLongStaleVMs(t, 5)
 			watcher, others := watcherDuring(t, 2*longStaleAfter, vms)
 			before := make(map[string]int)
 			for _, v := range others {
@@ -91,7 +91,7 @@
 // Guards against a second watcher because some VMs got one late reply from the first.
 func TestVMServedByItsParentDoesNotWatch(t *testing.T) {
 	const requestInterval = 100 * time.Millisecond
-	_, vms := startLongStaleVMs(t, 4)
+	vms := startLongStaleVMs(t, 4)
 	_, others := watcherDuring(t, 2*longStaleAfter, vms)
 	asked := others[0]
 	before := asked.storeClient.callCount("watch " + kindConfig)
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -188,7 +188,7 @@
 off exit-stays-certain state/worker/exit.go 'first && !l.certainExitInForce()' 'first' ./state/worker TestLostResponseAfterExit
 off exit-probed transport/ingress/attempt.go 'go q.probeForExit(c, target)' '' ./internal/gateway TestOneBrokenConnection
 off confirmed-as-compiled internal/gateway/gateway.go 'g.replica.ConfirmedAtMark(cfg.Codec.WorkerKind(), s.WorkersMark)' 'g.replica.ConfirmedAt(cfg.Codec.WorkerKind())' ./internal/gateway TestConfirmationAppliesWith
-off keys-as-compiled internal/gateway/keys.go 'g.replica.ConfirmedAtMark(g.cfg.Codec.ConfigKind(), inUse)' 'g.replica.ConfirmedAtMark(g.cfg.Codec.ConfigKind(), g.replica.Mark(g.cfg.Codec.ConfigKind()))' ./internal/gateway TestKeysOfConfiguration
+off keys-as-compiled internal/gateway/keys.go 'inUse = s.RoutesMark' 'inUse, _ = g.replica.Mark(g.cfg.Codec.ConfigKind()), s' ./internal/gateway TestKeysOfConfiguration
 off served-does-not-watch internal/gateway/watchers.go '&& clock.Since(w.parentReply) >= parentReplyValidity' '' ./internal/gateway TestVMServedByItsParent
 off word-outlives-entry state/worker/signal.go 'now.Sub(s.leaving.ObservedAt) < leavingRetention)' 'false)' ./state/worker TestLeavingOutlives
 off earliest-word-binds state/worker/signal.go 'first || s.Until.Before(l.signals.leaving.Until)' 'true' ./state/worker TestEarliestLeaving
