peer: nothing is accepted while the manager closes

What callers saw: a VM that stops while another one connects could end with a panic ("WaitGroup is reused before previous Wait has returned") instead of in order.

Cause: Serve counted a connection that it had just accepted while Close already waited for the count to reach zero.

--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -253,3 +253,29 @@
 		t.Errorf("call after the peer's own session: %v", err)
 	}
 }
+
+// Guards against a connection that is accepted while the manager closes.
+func TestCloseDuringAccept(t *testing.T) {
+	for range 200 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := peer.New(peer.Config{})
+		served := make(chan error, 1)
+		go func() { served <- m.Serve(l) }()
+		dialed := make(chan struct{})
+		go func() {
+			defer close(dialed)
+			if conn, err := net.Dial("tcp", l.Addr().String()); err == nil {
+				_ = conn.Close()
+			}
+		}()
+		m.Close()
+		_ = l.Close()
+		if err := <-served; err != nil {
+			t.Fatal(err)
+		}
+		<-dialed
+	}
+}
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -70,7 +70,10 @@
 			}
 			return errors.Wrap(err, "peer: accept")
 		}
-		m.wg.Add(1)
+		if !m.begin() {
+			_ = conn.Close()
+			return nil
+		}
 		go func() {
 			defer m.wg.Done()
 			m.serveConn(conn)
@@ -78,6 +81,18 @@
 	}
 }
 
+// begin registers a goroutine that Close waits for. It returns false once the manager is
+// closed, since nothing may be added while Close waits.
+func (m *Manager) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() != nil {
+		return false
+	}
+	m.wg.Add(1)
+	return true
+}
+
 func (m *Manager) serveConn(conn net.Conn) {
 	remote := conn.RemoteAddr().String()
 	defer func() { _ = conn.Close() }()
