worker: a second exit within a second, known red

Traced: the worker ended at 41.52 and again at 42.43; what vm1 was told of the second exit counted as a report of the first, so that it took the third process for warm 0.5 s early.

TestSecondExitWithinASecond fails the same way, 2 of 2 times.

--- a/state/worker/exit_test.go
+++ b/state/worker/exit_test.go
@@ -128,3 +128,22 @@
 		t.Error("warm 1.1 s after its exit")
 	}
 }
+
+// Guards against taking a worker that exited twice within a second for warm too early.
+func TestSecondExitWithinASecond(t *testing.T) {
+	const coldStart = 3 * time.Second
+	clock := clockwork.NewFakeClock()
+	clock.Advance(time.Minute)
+	l, confirmed := worker.NewLoads(clock.Now).GetOrCreate("w"), clock.Now().Add(-time.Second)
+	l.RecordConnectionRefused()
+	clock.Advance(400 * time.Millisecond)
+	l.RecordResponse() // From the second process.
+	clock.Advance(500 * time.Millisecond)
+	l.Observe(worker.SuspectedExit{At: clock.Now()})
+	clock.Advance(400 * time.Millisecond)
+	l.RecordResponse() // From the third process.
+	clock.Advance(coldStart - 500*time.Millisecond)
+	if !l.MayBeCold(confirmed, coldStart) {
+		t.Error("warm 2.5 s after the start of the third process")
+	}
+}
