--- a/internal/gateway/watchers_test.go
+++ b/internal/gateway/watchers_test.go
@@ -90,6 +90,7 @@
 
 // Guards against a second watcher because some VMs got one late reply from the first.
 func TestVMServedByItsParentDoesNotWatch(t *testing.T) {
+	t.Parallel()
 	const requestInterval = 100 * time.Millisecond
 	vms := startLongStaleVMs(t, 4)
 	_, others := watcherDuring(t, 2*longStaleAfter, vms)
