--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -422,7 +423,9 @@
 // Guards against requests that wait although their worker is full.
 func TestFullWorkerRefusesImmediately(t *testing.T) {
 	release := make(chan struct{})
+	var arrived atomic.Int64
 	f := newFixture(t, 1, func(_ int, w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
 		<-release
 		w.WriteHeader(http.StatusOK)
 	})
@@ -431,15 +434,9 @@
 	for i := range capacity {
 		go f.send(http.MethodPost, "/pay/", fmt.Sprint("busy", i), "", "Wait", "10000")
 	}
-	arrived := func() (n int) {
-		for i := range capacity {
-			n += len(f.ran(fmt.Sprint("busy", i)))
-		}
-		return n
-	}
-	for deadline := time.Now().Add(5 * time.Second); arrived() < capacity; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); arrived.Load() < capacity; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("only %d of %d requests reached the worker", arrived(), capacity)
+			t.Fatalf("only %d of %d requests reached the worker", arrived.Load(), capacity)
 		}
 	}
 	r := f.send(http.MethodPost, "/pay/", "last", "", "Wait", "900")
