--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -23,9 +23,9 @@
 
 // compiler holds the inputs of the last snapshot. Only compileLoop uses it.
 type compiler struct {
-	// memberListRevision is the revision of the last compiled list of VMs.
-	memberListRevision uint64
-	configRevision     uint64
+	// memberListVersion is the version of the last compiled list of VMs.
+	memberListVersion object.Version
+	configRevision    uint64
 	// refusedRevision is the revision of the last configuration that could not be
 	// decoded.
 	refusedRevision uint64
@@ -115,7 +115,7 @@
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
 	}
 	g.snapshot.Store(s)
-	g.compiledConfig.Store(config)
+	g.compiledConfig.Store(&config)
 	g.loads.Prune(s.Workers.HasIncarnation)
 	g.permits.issuer.Retain(s.Workers.HasIncarnation)
 	if g.lifecycle.Current() == phaseStarting {
@@ -129,24 +129,24 @@
 	objects := g.replica.Objects(g.cfg.Codec.ConfigKind())
 	g.unused.retain(g.cfg.Codec.ConfigKind(), objects)
 	for _, o := range objects {
-		if o.Revision <= c.configRevision || o.Revision == c.refusedRevision {
+		if o.Version.Revision <= c.configRevision || o.Version.Revision == c.refusedRevision {
 			continue
 		}
 		cfg, err := g.cfg.Codec.Routes(o)
 		if err != nil {
-			c.refusedRevision = o.Revision
+			c.refusedRevision = o.Version.Revision
 			g.unused.record(g.cfg.Codec.ConfigKind(), o, err)
-			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Revision)
+			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Version.Revision)
 			continue
 		}
-		c.configRevision = o.Revision
+		c.configRevision = o.Version.Revision
 		if c.routes != nil && cfg.Version < c.routes.Version() {
 			continue
 		}
 		c.routes, c.pinnedShares = route.NewTable(cfg), cfg.Workspaces.HomeShares()
 		g.keyFetches.clearBadKeys()
 		g.cfg.Metrics.Generation(cfg.Version)
-		g.log.Info("config: in force", "version", cfg.Version, "revision", o.Revision, "routes", len(cfg.Routes),
+		g.log.Info("config: in force", "version", cfg.Version, "revision", o.Version.Revision, "routes", len(cfg.Routes),
 			"workspaces", cfg.Workspaces.Len())
 	}
 }
@@ -158,7 +158,7 @@
 		closed[o.Name] = true
 		if !c.closed[o.Name] {
 			c.drainWindows[o.Name] = window
-			g.log.Info("halls: closed", "hall", o.Name, "revision", o.Revision)
+			g.log.Info("halls: closed", "hall", o.Name, "revision", o.Version.Revision)
 		}
 	}
 	for hall := range c.closed {
@@ -175,7 +175,7 @@
 // decoded changes nothing.
 func (g *Gateway) compileTraffic(c *compiler) {
 	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
-		if o.Name != spec.SingletonName || o.Revision <= c.trafficVersion {
+		if o.Name != spec.SingletonName || o.Version.Revision <= c.trafficVersion {
 			continue
 		}
 		t, _, err := decodeTraffic(o)
@@ -183,8 +183,8 @@
 			g.unused.add(g.cfg.Codec.TrafficKind(), o, err)
 			continue
 		}
-		c.traffic, c.trafficVersion = view.Empty().WithTraffic(&t), o.Revision
-		g.log.Info("traffic: applied", "revision", o.Revision, "edit", t.Edit, "moves", len(t.Moves), "caps", len(t.Caps))
+		c.traffic, c.trafficVersion = view.Empty().WithTraffic(&t), o.Version.Revision
+		g.log.Info("traffic: applied", "revision", o.Version.Revision, "edit", t.Edit, "moves", len(t.Moves), "caps", len(t.Caps))
 	}
 }
 
@@ -204,7 +204,7 @@
 	list := make([]*worker.Worker, 0, len(objects))
 	for _, o := range objects {
 		w, ok := c.workers[o.Name]
-		if !ok || w.Revision != o.Revision {
+		if !ok || w.Entry != o.Version {
 			if !ok && g.unused.known(g.cfg.Codec.WorkerKind(), o) {
 				continue
 			}
@@ -256,7 +256,7 @@
 			// A late write of an earlier process does not change the state of its
 			// successor.
 			older := *previous
-			older.Revision = w.Revision
+			older.Entry = w.Entry
 			return &older, nil
 		}
 		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start)
--- a/internal/gateway/compile_bench_test.go
+++ b/internal/gateway/compile_bench_test.go
@@ -16,9 +16,10 @@
 	compile := gateway.NewWorkerCompiler(codec{}, d)
 	at := d.UpTo
 	for b.Loop() {
-		o := d.Events[int(at)%len(d.Events)].Object
-		at++
-		o.Revision = at
-		compile(object.Delta{Kind: d.Kind, Since: at - 1, UpTo: at, Events: []object.Event{{Object: o}}})
+		o := d.Events[int(at.Revision)%len(d.Events)].Object
+		previous := at
+		at.Revision++
+		o.Version = at
+		compile(object.Delta{Kind: d.Kind, Since: previous, UpTo: at, Events: []object.Event{{Object: o}}})
 	}
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -44,27 +44,29 @@
 
 // Store is the platform's object store.
 type Store interface {
-	// List returns all objects of a kind and a revision up to which they are complete.
+	// List returns all objects of a kind and a version up to which they are complete.
 	// A stale list may be some seconds old and costs less.
-	List(ctx context.Context, kind string, stale bool) ([]object.Object, uint64, error)
+	List(ctx context.Context, kind string, stale bool) ([]object.Object, object.Version, error)
 	// Page returns some objects of a kind, sorted by name, starting after the given
 	// name. They may be some seconds old; the call is cheap.
 	Page(ctx context.Context, kind, after string) ([]object.Object, error)
-	// Watch returns the changes of a kind after a revision as soon as there are any,
+	// Watch returns the changes of a kind after a version as soon as there are any,
 	// and at the latest after hold. It returns ErrHistoryExpired if the history since the
-	// revision is no longer available.
-	Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error)
+	// revision is no longer available. If the returned version is of another era, the
+	// changes do not continue from since.
+	Watch(ctx context.Context, kind string, since object.Version, hold time.Duration) ([]object.Event, object.Version, error)
 	// Put creates or replaces an object.
 	Put(ctx context.Context, kind, name string, spec []byte) error
 	// Get returns an object, or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (object.Object, error)
 	// Replace writes an object if it still has the given revision, where 0 means that
-	// it must not exist, and returns the new revision, or ErrConflict. After any other
-	// error the write may or may not take effect.
-	Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error)
+	// it must not exist, and returns the new version, or ErrConflict. After any other
+	// error the write may or may not take effect. The store does not compare eras: if
+	// the returned version is of another era, another object was replaced.
+	Replace(ctx context.Context, kind, name string, condition object.Version, spec []byte) (object.Version, error)
 	// ReplaceStatus does the same with an object's status, which the fleet writes
 	// where the object itself belongs to the operators.
-	ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error)
+	ReplaceStatus(ctx context.Context, kind, name string, condition object.Version, status []byte) (object.Version, error)
 	// Delete removes an object if it exists.
 	Delete(ctx context.Context, kind, name string) error
 }
--- a/internal/gateway/deltacache.go
+++ b/internal/gateway/deltacache.go
@@ -38,7 +38,7 @@
 type deltaKey struct {
 	kind         string
 	full, listed bool
-	since, at    uint64
+	since, at    object.Version
 }
 
 func newDeltaCache() *deltaCache { return &deltaCache{entries: make(map[deltaKey][]byte)} }
@@ -63,7 +63,7 @@
 		}
 		c.entries[key] = compressed
 	}
-	return &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since, At: d.UpTo, Packed: compressed}
+	return &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, Packed: compressed}
 }
 
 // isLarge reports whether a delta exceeds the size up to which parts are sent to any
--- a/internal/gateway/deltacache_test.go
+++ b/internal/gateway/deltacache_test.go
@@ -21,11 +21,11 @@
 // workersDelta returns a delta of n workers with specs of realistic size.
 func workersDelta(n int) object.Delta {
 	random := rand.New(rand.NewPCG(1, 2))
-	d := object.Delta{Kind: kindWorkers, UpTo: uint64(n)}
+	d := object.Delta{Kind: kindWorkers, UpTo: object.Version{Revision: uint64(n)}}
 	for i := range n {
 		spec := fmt.Sprintf(`{"service":"lookup","address":"10.2.%d.%d:8045","hall":"north-b","slots":9,"state":"ready","cold":"0ms","sequence":%d}`,
 			random.IntN(250), random.IntN(250), random.IntN(9))
-		o := object.Object{Name: fmt.Sprintf("i-%08x", random.Uint32()), Revision: uint64(i), Spec: []byte(spec)}
+		o := object.Object{Name: fmt.Sprintf("i-%08x", random.Uint32()), Version: object.Version{Revision: uint64(i)}, Spec: []byte(spec)}
 		d.Events = append(d.Events, object.Event{Object: o})
 	}
 	return d
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -47,6 +47,7 @@
 // memoryStore is an in-memory store. Each VM accesses it through its own storeClient.
 type memoryStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	kinds    map[string]map[string]object.Object
 	log      map[string][]object.Event
@@ -69,7 +70,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	o := object.Object{Name: name, Revision: s.revision, Spec: raw}
+	o := object.Object{Name: name, Version: s.version(), Spec: raw}
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = make(map[string]object.Object)
 	}
@@ -100,6 +101,18 @@
 	s.notifyWatches()
 }
 
+// version returns the version of the last change. The caller holds mu.
+func (s *memoryStore) version() object.Version {
+	return object.Version{Era: s.era, Revision: s.revision}
+}
+
+// current returns an object as the store presents it: its version is of the current era.
+// The caller holds mu.
+func (s *memoryStore) current(o object.Object) object.Object {
+	o.Version.Era = s.era
+	return o
+}
+
 // currentRevision returns the revision of the last change.
 func (s *memoryStore) currentRevision() uint64 {
 	s.mu.Lock()
@@ -124,7 +137,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.kinds[kind], name)
-	s.log[kind] = append(s.log[kind], object.Event{Object: object.Object{Name: name, Revision: s.revision}, Deleted: true})
+	s.log[kind] = append(s.log[kind], object.Event{Object: object.Object{Name: name, Version: s.version()}, Deleted: true})
 	s.notifyWatches()
 }
 
@@ -171,33 +184,30 @@
 	if !ok {
 		return o, gateway.ErrNotFound
 	}
-	return o, nil
+	return d.store.current(o), nil
 }
 
-func (d *storeClient) Replace(ctx context.Context, kind, name string, revision uint64, raw []byte) (uint64, error) {
+func (d *storeClient) Replace(ctx context.Context, kind, name string, condition object.Version, raw []byte) (object.Version, error) {
 	if err := d.beginCall(ctx, "replace "+kind, time.Second); err != nil {
-		return 0, err
+		return object.Version{}, err
 	}
 	lost, before := d.takeLostReply()
 	if lost && before {
-		return 0, errStoreUnavailable
+		return object.Version{}, errStoreUnavailable
 	}
-	d.store.mu.Lock()
-	current := d.store.kinds[kind][name].Revision
-	d.store.mu.Unlock()
-	if current != revision {
-		return 0, gateway.ErrConflict
+	if d.store.get(kind, name).Version.Revision != condition.Revision {
+		return object.Version{}, gateway.ErrConflict
 	}
 	d.store.put(kind, name, json.RawMessage(raw))
 	if lost {
-		return 0, errStoreUnavailable
+		return object.Version{}, errStoreUnavailable
 	}
-	return d.store.get(kind, name).Revision, nil
+	return d.store.get(kind, name).Version, nil
 }
 
 // ReplaceStatus replaces the whole object, which holds its own status.
-func (d *storeClient) ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error) {
-	return d.Replace(ctx, kind, name, revision, status)
+func (d *storeClient) ReplaceStatus(ctx context.Context, kind, name string, condition object.Version, status []byte) (object.Version, error) {
+	return d.Replace(ctx, kind, name, condition, status)
 }
 
 func (d *storeClient) Delete(ctx context.Context, kind, name string) error {
@@ -249,18 +259,18 @@
 	return nil
 }
 
-func (d *storeClient) List(ctx context.Context, kind string, _ bool) ([]object.Object, uint64, error) {
+func (d *storeClient) List(ctx context.Context, kind string, _ bool) ([]object.Object, object.Version, error) {
 	if err := d.beginCall(ctx, "list "+kind, time.Second); err != nil {
-		return nil, 0, err
+		return nil, object.Version{}, err
 	}
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
 	var list []object.Object
 	for _, o := range d.store.kinds[kind] {
-		list = append(list, o)
+		list = append(list, d.store.current(o))
 	}
 	slices.SortFunc(list, func(a, b object.Object) int { return cmp.Compare(a.Name, b.Name) })
-	return list, d.store.revision, nil
+	return list, d.store.version(), nil
 }
 
 func (d *storeClient) Page(ctx context.Context, kind, after string) ([]object.Object, error) {
@@ -272,37 +282,37 @@
 	var list []object.Object
 	for name, o := range d.store.kinds[kind] {
 		if name > after {
-			list = append(list, o)
+			list = append(list, d.store.current(o))
 		}
 	}
 	slices.SortFunc(list, func(a, b object.Object) int { return cmp.Compare(a.Name, b.Name) })
 	return list[:min(len(list), storePageSize)], nil
 }
 
-func (d *storeClient) Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error) {
+func (d *storeClient) Watch(ctx context.Context, kind string, since object.Version, hold time.Duration) ([]object.Event, object.Version, error) {
 	if err := d.beginCall(ctx, "watch "+kind, hold+300*time.Millisecond); err != nil {
-		return nil, 0, err
+		return nil, object.Version{}, err
 	}
 	deadline := time.After(hold)
 	for {
 		d.store.mu.Lock()
 		var events []object.Event
 		for _, e := range d.store.log[kind] {
-			if e.Revision > since {
+			if e.Version.Revision > since.Revision {
 				events = append(events, e)
 			}
 		}
-		at, changed, compactedAt := d.store.revision, d.store.changed, d.store.compactedAt
+		at, changed, compactedAt := d.store.version(), d.store.changed, d.store.compactedAt
 		d.store.mu.Unlock()
-		if since < compactedAt {
-			return nil, 0, gateway.ErrHistoryExpired
+		if since.Revision < compactedAt || since.Revision > at.Revision {
+			return nil, object.Version{}, gateway.ErrHistoryExpired
 		}
 		if len(events) > 0 {
 			return events, at, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, object.Version{}, ctx.Err()
 		case <-deadline:
 			return nil, at, nil
 		case <-changed:
@@ -335,7 +345,7 @@
 func (codec) Rollout(o object.Object) (rollout.Order, error) {
 	var order rollout.Order
 	err := json.Unmarshal(o.Spec, &order)
-	order.Revision = o.Revision
+	order.Entry = o.Version
 	return order, err
 }
 
@@ -363,7 +373,7 @@
 func (codec) Worker(o object.Object) (worker.Worker, time.Duration, error) {
 	var w worker.Worker
 	err := json.Unmarshal(o.Spec, &w)
-	w.ID, w.Revision = o.Name, o.Revision
+	w.ID, w.Entry = o.Name, o.Version
 	return w, 0, err
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,8 +115,8 @@
 	quarantines *quarantines
 	// keyFetches limits the fetches for unknown API keys.
 	keyFetches *keyFetches
-	// compiledConfig is the revision of the newest configuration in the snapshot.
-	compiledConfig atomic.Uint64
+	// compiledConfig is the version of the newest configuration in the snapshot.
+	compiledConfig atomic.Pointer[object.Version]
 	placer         *placement.Placer
 	balancer       *balancer
 	serveErrors    chan error
--- a/internal/gateway/halls.go
+++ b/internal/gateway/halls.go
@@ -27,7 +27,7 @@
 func (g *Gateway) trafficVersion() uint64 {
 	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
 		if o.Name == spec.SingletonName {
-			return o.Revision
+			return o.Version.Revision
 		}
 	}
 	return 0
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -21,7 +21,7 @@
 // Guards against state of an earlier incarnation overriding that of the newest one.
 func TestNewestIncarnationWins(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		compile := gateway.NewWorkerCompiler(codec{}, object.Delta{Kind: kindWorkers, UpTo: 1})
+		compile := gateway.NewWorkerCompiler(codec{}, object.Delta{Kind: kindWorkers, UpTo: object.Version{Revision: 1}})
 		newest, leaving, everLeaving := uint64(0), false, false
 		for at := uint64(2); at < uint64(rapid.IntRange(3, 20).Draw(t, "writes")); at++ {
 			w := worker.Worker{Service: "s", Hall: "north-b", Start: uint64(rapid.IntRange(1, 4).Draw(t, "start")), Leaving: rapid.Bool().Draw(t, "leaving")}
@@ -33,8 +33,8 @@
 				everLeaving = w.Leaving || everLeaving && w.Start == newest
 				newest, leaving = w.Start, w.Leaving
 			}
-			set := compile(object.Delta{Kind: kindWorkers, Since: at - 1, UpTo: at, Events: []object.Event{
-				{Object: object.Object{Name: "w", Revision: at, Spec: raw}},
+			set := compile(object.Delta{Kind: kindWorkers, Since: object.Version{Revision: at - 1}, UpTo: object.Version{Revision: at}, Events: []object.Event{
+				{Object: object.Object{Name: "w", Version: object.Version{Revision: at}, Spec: raw}},
 			}})
 			got, ok := set.Get("w")
 			if !ok || got.Start != newest || got.Leaving != leaving {
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -10,6 +10,7 @@
 
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/object"
 )
 
 // knowledgeInterval is how often the ages are checked, and the minimum time between
@@ -27,6 +28,8 @@
 	// cause of a high age.
 	storeErrors map[string]string
 	peerError   string
+	// era is the newest era in a response of the store.
+	era uint64
 	// copies and copyBytes count the full copies of kinds sent to peers since the last
 	// log line.
 	copies, copyBytes int
@@ -46,6 +49,24 @@
 	}
 }
 
+// recordEra records the era of a response of the store, and reports whether it is newer
+// than all others.
+func (k *knowledge) recordEra(era uint64) (previous uint64, newer bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	previous = k.era
+	k.era = max(k.era, era)
+	return previous, era > previous
+}
+
+// recordEra records the version in a response of the store, and logs a new era.
+func (g *Gateway) recordEra(at object.Version) {
+	if previous, newer := g.knowledge.recordEra(at.Era); newer {
+		g.cfg.Metrics.StoreEra(at.Era)
+		g.log.Info("store: new era", "era", at.Era, "previous", previous, "revision", at.Revision)
+	}
+}
+
 // recordPeerCall records the result of the last request to a peer.
 func (k *knowledge) recordPeerCall(err error) {
 	k.mu.Lock()
--- a/internal/gateway/largereplies_test.go
+++ b/internal/gateway/largereplies_test.go
@@ -99,7 +99,7 @@
 	before := v.storeClient.callCount("list " + kindWorkers)
 	at := f.store.currentRevision()
 	v.MergeDelta(object.Delta{
-		Kind: kindWorkers, Listed: true, UpTo: at + 1, Events: []object.Event{},
+		Kind: kindWorkers, Listed: true, UpTo: object.Version{Revision: at + 1}, Events: []object.Event{},
 		Listing: []object.Ref{{Name: "never-heard-of", Revision: at}},
 	})
 	f.waitWithin(time.Second, "listing the workers", func() bool { return v.storeClient.callCount("list "+kindWorkers) > before })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -66,7 +66,7 @@
 func (g *Gateway) probeMessage(to string) *peerpb.Probe {
 	p := &peerpb.Probe{Replicas: make(map[string]uint64), Signals: g.outgoingSignals()}
 	for _, kind := range g.replicatedKinds() {
-		p.Replicas[kind] = g.replica.LastChanged(kind)
+		p.Replicas[kind] = g.replica.LastChanged(kind).Revision
 	}
 	for _, m := range g.members.Updates(to) {
 		p.News = append(p.News, peer.EncodeMember(m))
@@ -78,7 +78,7 @@
 	revisions := make(map[string]uint64)
 	for _, kind := range g.replicatedKinds() {
 		if at, ok := g.replica.CompleteUpTo(kind); ok && !g.replica.Inconsistent(kind) {
-			revisions[kind] = at
+			revisions[kind] = at.Revision
 		}
 	}
 	return revisions
@@ -92,7 +92,7 @@
 	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.CompleteUpTo(kind)
 		peerRevision := p.GetReplicas()[kind]
-		if !known && peerRevision > 0 || peerRevision > at && clock.Since(g.replica.ConfirmedAt(kind)) > watcherStaleAfter {
+		if !known && peerRevision > 0 || peerRevision > at.Revision && clock.Since(g.replica.ConfirmedAt(kind)) > watcherStaleAfter {
 			go g.pullFrom(from)
 			return
 		}
@@ -178,24 +178,24 @@
 }
 
 func toDelta(d object.Delta) *peerpb.Delta {
-	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since, At: d.UpTo}
+	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision}
 	for _, ref := range d.Listing {
 		out.Listing = append(out.Listing, &peerpb.ObjectRef{Name: ref.Name, Revision: ref.Revision})
 	}
 	for _, e := range d.Events {
-		out.Events = append(out.Events, &peerpb.ObjectEvent{Name: e.Name, Revision: e.Revision, Gone: e.Deleted, Spec: e.Spec})
+		out.Events = append(out.Events, &peerpb.ObjectEvent{Name: e.Name, Revision: e.Version.Revision, Gone: e.Deleted, Spec: e.Spec})
 	}
 	return out
 }
 
 func fromDelta(d *peerpb.Delta) object.Delta {
-	out := object.Delta{Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(), Since: d.GetSince(), UpTo: d.GetAt()}
+	out := object.Delta{Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(), Since: object.Version{Revision: d.GetSince()}, UpTo: object.Version{Revision: d.GetAt()}}
 	for _, ref := range d.GetListing() {
 		out.Listing = append(out.Listing, object.Ref{Name: ref.GetName(), Revision: ref.GetRevision()})
 	}
 	for _, e := range d.GetEvents() {
 		out.Events = append(out.Events, object.Event{
-			Object: object.Object{Name: e.GetName(), Revision: e.GetRevision(), Spec: e.GetSpec()}, Deleted: e.GetGone(),
+			Object: object.Object{Name: e.GetName(), Version: object.Version{Revision: e.GetRevision()}, Spec: e.GetSpec()}, Deleted: e.GetGone(),
 		})
 	}
 	return out
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -79,11 +79,12 @@
 // their retention, since the store does not expire them.
 func (g *Gateway) listQuarantine(ctx context.Context, stale bool) error {
 	kind := g.cfg.Codec.QuarantineKind()
-	objects, revision, err := g.cfg.Store.List(ctx, kind, stale)
+	objects, at, err := g.cfg.Store.List(ctx, kind, stale)
 	if err != nil {
 		return errors.Wrap(err, "quarantine: list entries")
 	}
-	g.replica.Reset(kind, objects, revision)
+	g.recordEra(at)
+	g.replica.Reset(kind, objects, at)
 	g.compileQuarantine()
 	if !g.watchesStore() {
 		return nil
@@ -106,7 +107,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	content := g.replica.LastChanged(kind)
-	if _, known := g.replica.CompleteUpTo(kind); !known || content == q.compiledRevision {
+	if _, known := g.replica.CompleteUpTo(kind); !known || content == q.compiledVersion {
 		return
 	}
 	var entries []quarantine.Entry
@@ -123,7 +124,7 @@
 		}
 		entries = append(entries, e)
 	}
-	q.compiledRevision = content
+	q.compiledVersion = content
 	q.table.SyncStored(entries)
 	for f := range q.detected {
 		if _, ok := q.table.Get(f); !ok {
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -185,7 +185,7 @@
 		return
 	}
 	g.storeBackoff.wait(ctx, maxBackoff)
-	revision, err := g.cfg.Store.ReplaceStatus(ctx, g.cfg.Codec.RolloutKind(), next.Service, next.Revision, status)
+	written, err := g.cfg.Store.ReplaceStatus(ctx, g.cfg.Codec.RolloutKind(), next.Service, next.Entry, status)
 	if errors.Is(err, ErrConflict) {
 		g.storeBackoff.recordResult(nil) // A conflict is a response of the store.
 	} else {
@@ -196,9 +196,9 @@
 		g.readRollout(ctx, o)
 		return
 	}
-	next.Revision = revision
+	next.Entry = written
 	g.rollouts.recordStored(o, next)
-	g.log.Info("rollout: status written", "service", next.Service, "version", next.Name, "state", phase.String(), "revision", revision)
+	g.log.Info("rollout: status written", "service", next.Service, "version", next.Name, "state", phase.String(), "revision", written.Revision)
 }
 
 // beginWrite returns the order with the new phase. It returns false if another write is
@@ -229,7 +229,7 @@
 func (r *rollouts) recordStored(o *order, stored rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stored.Version != o.version || stored.Revision < o.stored.Revision {
+	if stored.Version != o.version || stored.Entry.Revision < o.stored.Entry.Revision {
 		return
 	}
 	o.stored = stored
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -88,7 +88,7 @@
 			held = r.addOrder(latest, now)
 			added = append(added, latest)
 		}
-		if latest.Revision >= held.stored.Revision {
+		if latest.Entry.Revision >= held.stored.Entry.Revision {
 			held.stored = latest
 		}
 		if latest.Phase.Final() {
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -88,7 +88,7 @@
 func (g *Gateway) confirmFromReply(reply *peerpb.Synced, sent time.Time) {
 	repliedAt := sent.Add(time.Duration(reply.GetHeldMillis()) * time.Millisecond)
 	for kind, age := range reply.GetAgeMillis() {
-		if at, known := g.replica.CompleteUpTo(kind); known && at >= replyRevision(reply, kind, at) {
+		if at, known := g.replica.CompleteUpTo(kind); known && at.Revision >= replyRevision(reply, kind, at.Revision) {
 			g.replica.MarkConfirmed(kind, repliedAt.Add(-time.Duration(age)*time.Millisecond))
 		}
 	}
@@ -109,7 +109,7 @@
 	wasInconsistent := g.replica.Inconsistent(d.Kind)
 	g.replica.Merge(d)
 	if !wasInconsistent && g.replica.Inconsistent(d.Kind) {
-		g.log.Info("knowledge: a peer has an object that the replica lacks, listing the kind again", "kind", d.Kind, "peer", from, "since", d.Since, "at", d.UpTo)
+		g.log.Info("knowledge: a peer has an object that the replica lacks, listing the kind again", "kind", d.Kind, "peer", from, "since", d.Since.Revision, "at", d.UpTo.Revision)
 		g.cfg.Metrics.KnowledgeDoubted(d.Kind)
 		g.watchers.notify()
 	}
@@ -209,9 +209,9 @@
 // deltaFor returns the changes of a kind that the requesting VM does not have.
 func (g *Gateway) deltaFor(request *peerpb.Sync, kind string) (object.Delta, bool) {
 	since, known := request.GetSince()[kind]
-	d, ok := g.replica.Since(kind, since, known)
+	d, ok := g.replica.Since(kind, object.Version{Revision: since}, known)
 	if d.Listed && !request.GetTakesListed() {
-		return g.replica.Since(kind, 0, false)
+		return g.replica.Since(kind, object.Version{}, false)
 	}
 	return d, ok
 }
--- a/internal/gateway/sync_test.go
+++ b/internal/gateway/sync_test.go
@@ -19,10 +19,10 @@
 	v := f.startVM("a", "north-a", nil)
 	f.waitFor("the VM is ready", v.ready)
 	const objects = 60_000
-	at := f.store.currentRevision() + 1_000_000
+	at := object.Version{Revision: f.store.currentRevision() + 1_000_000}
 	events := make([]object.Event, objects)
 	for i := range events {
-		events[i].Name, events[i].Revision = fmt.Sprintf("c%d", i), at
+		events[i].Name, events[i].Version = fmt.Sprintf("c%d", i), at
 	}
 	v.MergeDelta(object.Delta{Kind: kindTraffic, Full: true, UpTo: at, Events: events})
 	for range 100 {
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -78,7 +78,7 @@
 		return spec.Traffic{}, 0, "", err
 	}
 	t, operation, err = decodeTraffic(o)
-	return t, o.Revision, operation, err
+	return t, o.Version.Revision, operation, err
 }
 
 // Write implements traffic.Store. After a write without a response, it checks the
@@ -91,9 +91,9 @@
 		return 0, err
 	}
 	for range writeAttempts {
-		written, writeErr := cfg.Store.Replace(ctx, cfg.Codec.TrafficKind(), spec.SingletonName, version, body)
+		written, writeErr := cfg.Store.Replace(ctx, cfg.Codec.TrafficKind(), spec.SingletonName, object.Version{Revision: version}, body)
 		if writeErr == nil {
-			return written, nil
+			return written.Revision, nil
 		}
 		_, current, lastOperation, err := s.readWithOperation(ctx)
 		switch {
@@ -162,6 +162,6 @@
 	if err != nil {
 		return // An object that cannot be encoded was not written.
 	}
-	o := object.Object{Name: spec.SingletonName, Revision: w.Version, Spec: body}
-	g.replica.Reset(g.cfg.Codec.TrafficKind(), []object.Object{o}, w.Version)
+	o := object.Object{Name: spec.SingletonName, Version: object.Version{Revision: w.Version}, Spec: body}
+	g.replica.Reset(g.cfg.Codec.TrafficKind(), []object.Object{o}, o.Version)
 }
--- a/internal/gateway/unused.go
+++ b/internal/gateway/unused.go
@@ -41,8 +41,8 @@
 type unusedKey struct{ kind, name string }
 
 type unusedEntry struct {
-	revision uint64
-	reason   string
+	version object.Version
+	reason  string
 }
 
 func newUnused(log logr.Logger, m *metrics.Set) *unused {
@@ -51,34 +51,34 @@
 	}
 }
 
-// known reports whether a revision of an entry is recorded as unused.
+// known reports whether a version of an entry is recorded as unused.
 func (u *unused) known(kind string, o object.Object) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	e, ok := u.entries[unusedKey{kind, o.Name}]
-	return ok && e.revision == o.Revision
+	return ok && e.version == o.Version
 }
 
-// add records and logs an unused entry, once per revision.
+// add records and logs an unused entry, once per version.
 func (u *unused) add(kind string, o object.Object, cause error) {
 	if u.known(kind, o) {
 		return
 	}
 	u.record(kind, o, cause)
 	if u.limiter.Allow() {
-		u.log.Info("store: entry not used", "kind", kind, "name", truncateText(o.Name), "revision", o.Revision, "reason", truncateText(cause.Error()))
+		u.log.Info("store: entry not used", "kind", kind, "name", truncateText(o.Name), "revision", o.Version.Revision, "reason", truncateText(cause.Error()))
 	}
 }
 
-// record records a revision of an unused entry.
+// record records a version of an unused entry.
 func (u *unused) record(kind string, o object.Object, cause error) {
 	u.mu.Lock()
-	u.entries[unusedKey{kind, o.Name}] = unusedEntry{revision: o.Revision, reason: truncateText(cause.Error())}
+	u.entries[unusedKey{kind, o.Name}] = unusedEntry{version: o.Version, reason: truncateText(cause.Error())}
 	u.mu.Unlock()
 	u.metrics.Unused(kind, string(object.ReasonOf(cause)))
 }
 
-// retain drops the recorded entries of a kind whose revision is not among the given
+// retain drops the recorded entries of a kind whose version is not among the given
 // objects.
 func (u *unused) retain(kind string, objects []object.Object) {
 	u.mu.Lock()
@@ -86,12 +86,12 @@
 	if len(u.entries) == 0 {
 		return
 	}
-	present := make(map[string]uint64, len(objects))
+	present := make(map[string]object.Version, len(objects))
 	for _, o := range objects {
-		present[o.Name] = o.Revision
+		present[o.Name] = o.Version
 	}
 	for key, e := range u.entries {
-		if key.kind == kind && present[key.name] != e.revision {
+		if key.kind == kind && present[key.name] != e.version {
 			delete(u.entries, key)
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -119,6 +119,10 @@
 		objects, at, err := g.cfg.Store.List(ctx, kind, false)
 		if err == nil {
 			g.recordOutage(clock.Now())
+			g.recordEra(at)
+			if known && at.Revision < since.Revision {
+				g.log.Info("knowledge: list not applied, since it is older than the replica", "kind", kind, "revision", at.Revision, "replica", since.Revision)
+			}
 			g.replica.Reset(kind, objects, at)
 			g.replica.MarkConfirmed(kind, started)
 		}
@@ -129,6 +133,7 @@
 		return false, err
 	}
 	g.recordOutage(clock.Now())
+	g.recordEra(at)
 	g.replica.Apply(kind, since, events, at)
 	confirmed := started
 	if len(events) == 0 && hold > minHold {
@@ -195,6 +200,7 @@
 		objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval)
 		g.storeBackoff.recordResult(err)
 		if err == nil {
+			g.recordEra(at)
 			g.replica.Reset(kind, objects, at)
 			sleep(ctx, wait)
 			wait = listInterval
@@ -210,9 +216,9 @@
 	kind := g.cfg.Codec.MemberKind()
 	at, known := g.replica.CompleteUpTo(kind)
 	content := g.replica.LastChanged(kind)
-	if !known || content == c.memberListRevision {
+	if !known || content == c.memberListVersion {
 		return
 	}
-	c.memberListRevision = content
-	g.members.SetList(spec.VMList{Version: at, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
+	c.memberListVersion = content
+	g.members.SetList(spec.VMList{Version: at.Revision, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -36,6 +36,7 @@
 	lent      *prometheus.GaugeVec
 	reportAge *prometheus.GaugeVec
 	revision  prometheus.Gauge
+	era       prometheus.Gauge
 	members   *prometheus.GaugeVec
 	keysMoved prometheus.Counter
 	knowledge *prometheus.GaugeVec
@@ -104,7 +105,10 @@
 	s.keyAsked = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: "ryehill", Name: "key_questions_total", Help: "Questions to other VMs for API keys that this VM does not know.",
 	})
-	r.MustRegister(s.duration, s.held, s.revision, s.keysMoved, s.keyAsked, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.era = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "ryehill", Name: "store_era", Help: "Newest era in a response of the platform's store, which rises when the store returns from an older copy.",
+	})
+	r.MustRegister(s.duration, s.held, s.revision, s.era, s.keysMoved, s.keyAsked, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
 }
 
@@ -225,6 +229,9 @@
 // Generation sets the generation in force.
 func (s *Set) Generation(g uint64) { s.revision.Set(float64(g)) }
 
+// StoreEra sets the newest era of the platform's store.
+func (s *Set) StoreEra(era uint64) { s.era.Set(float64(era)) }
+
 // Members sets how many VMs are in a state.
 func (s *Set) Members(state string, n int) { s.members.WithLabelValues(state).Set(float64(n)) }
 
--- a/internal/program/gateway.go
+++ b/internal/program/gateway.go
@@ -69,7 +69,7 @@
 type storeAdapter struct{ *platform.Store }
 
 // Watch implements gateway.Store.
-func (s storeAdapter) Watch(ctx context.Context, kind string, since uint64, hold time.Duration) ([]object.Event, uint64, error) {
+func (s storeAdapter) Watch(ctx context.Context, kind string, since object.Version, hold time.Duration) ([]object.Event, object.Version, error) {
 	events, at, err := s.Store.Watch(ctx, kind, since, hold)
 	return events, at, meant(err)
 }
@@ -81,14 +81,14 @@
 }
 
 // ReplaceStatus implements gateway.Store.
-func (s storeAdapter) ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status []byte) (uint64, error) {
-	written, err := s.Store.ReplaceStatus(ctx, kind, name, revision, status)
+func (s storeAdapter) ReplaceStatus(ctx context.Context, kind, name string, condition object.Version, status []byte) (object.Version, error) {
+	written, err := s.Store.ReplaceStatus(ctx, kind, name, condition, status)
 	return written, meant(err)
 }
 
 // Replace implements gateway.Store.
-func (s storeAdapter) Replace(ctx context.Context, kind, name string, revision uint64, spec []byte) (uint64, error) {
-	written, err := s.Store.Replace(ctx, kind, name, revision, spec)
+func (s storeAdapter) Replace(ctx context.Context, kind, name string, condition object.Version, spec []byte) (object.Version, error) {
+	written, err := s.Store.Replace(ctx, kind, name, condition, spec)
 	return written, meant(err)
 }
 
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -21,8 +21,8 @@
 	mu           sync.Mutex
 	initialized  bool
 	inconsistent bool
-	revision     uint64
-	lastChanged  uint64 // revision of the last change
+	version      Version
+	lastChanged  Version // version of the last change
 	confirmedAt  time.Time
 	// earliestChange is a lower bound on the time of the pending changes, those
 	// that TakeEarliestChange has not returned yet. It is valid if changePending is
@@ -59,9 +59,9 @@
 	switch {
 	case d.Full:
 		return k.replace(d, namesOf(d.Events))
-	case !k.initialized || d.Since > k.revision:
+	case !k.initialized || d.Since.Revision > k.version.Revision:
 		return false // The changes in between are missing.
-	case d.UpTo <= k.revision:
+	case d.UpTo.Revision <= k.version.Revision:
 		return false
 	case d.Listed:
 		return k.mergeListing(d)
@@ -71,11 +71,11 @@
 		if e.Deleted {
 			// The store reports the revision of the last change before the
 			// deletion. Raise it, so that peers that are behind see the deletion.
-			e.Revision = max(e.Revision, d.UpTo)
+			e.Version.Revision = max(e.Version.Revision, d.UpTo.Revision)
 		}
 		changed = k.applyEvent(e, d.UpTo) || changed
 	}
-	k.revision = d.UpTo
+	k.version = d.UpTo
 	return changed
 }
 
@@ -88,7 +88,7 @@
 	for _, ref := range d.Listing {
 		names[ref.Name] = true
 		current, ok := k.objects[ref.Name]
-		if !included[ref.Name] && (!ok || current.Revision < ref.Revision) {
+		if !included[ref.Name] && (!ok || current.Version.Revision < ref.Revision) {
 			k.inconsistent = true
 			return false
 		}
@@ -110,25 +110,25 @@
 // applied now, the watch event would not count as a change and peers would never
 // receive it.
 func (k *kindReplica) replace(d Delta, names map[string]bool) bool {
-	if k.initialized && d.UpTo < k.revision {
+	if k.initialized && d.UpTo.Revision < k.version.Revision {
 		return false
 	}
 	changed := !k.initialized
 	for _, e := range d.Events {
-		if e.Revision <= d.UpTo {
+		if e.Version.Revision <= d.UpTo.Revision {
 			changed = k.applyEvent(e, d.UpTo) || changed
 		}
 	}
 	for name := range k.objects {
 		if !names[name] {
-			changed = k.applyEvent(Event{Object: Object{Name: name, Revision: d.UpTo}, Deleted: true}, d.UpTo) || changed
+			changed = k.applyEvent(Event{Object: Object{Name: name, Version: d.UpTo}, Deleted: true}, d.UpTo) || changed
 		}
 	}
 	if changed {
 		k.lastChanged = d.UpTo
 	}
-	k.recordGap(d.UpTo)
-	k.initialized, k.inconsistent, k.revision = true, false, d.UpTo
+	k.recordGap(d.UpTo.Revision)
+	k.initialized, k.inconsistent, k.version = true, false, d.UpTo
 	return changed
 }
 
@@ -138,8 +138,8 @@
 		k.history, k.oldest, k.gaps = nil, upTo, nil
 		return
 	}
-	if upTo > k.revision {
-		k.gaps = append(k.gaps, gap{from: k.revision, to: upTo})
+	if upTo > k.version.Revision {
+		k.gaps = append(k.gaps, gap{from: k.version.Revision, to: upTo})
 	}
 	if len(k.gaps) > maxGaps {
 		k.oldest = max(k.oldest, k.gaps[0].to)
@@ -149,10 +149,10 @@
 
 // applyEvent applies an event of a delta that is complete up to revision upTo,
 // unless the event is older than the held object.
-func (k *kindReplica) applyEvent(e Event, upTo uint64) bool {
+func (k *kindReplica) applyEvent(e Event, upTo Version) bool {
 	current, ok := k.objects[e.Name]
 	switch {
-	case ok && (e.Revision < current.Revision || !e.Deleted && equalObjects(current, e.Object)):
+	case ok && (e.Version.Revision < current.Version.Revision || !e.Deleted && equalObjects(current, e.Object)):
 		return false
 	case e.Deleted && !ok:
 		return false
@@ -174,9 +174,11 @@
 }
 
 // appendHistory adds an event to the history.
-func (k *kindReplica) appendHistory(e Event, upTo uint64) {
-	k.lastChanged = max(k.lastChanged, upTo)
-	k.history = append(k.history, change{Event: e, deliveredAt: upTo})
+func (k *kindReplica) appendHistory(e Event, upTo Version) {
+	if k.lastChanged.Revision < upTo.Revision {
+		k.lastChanged = upTo
+	}
+	k.history = append(k.history, change{Event: e, deliveredAt: upTo.Revision})
 	if len(k.history) > 2*historyLength {
 		k.trimHistory()
 	}
@@ -220,7 +222,7 @@
 	changedNames := namesOf(k.historyAfter(revision))
 	var events []Event
 	for name, o := range k.objects {
-		if revision == 0 || o.Revision > revision || changedNames[name] {
+		if revision == 0 || o.Version.Revision > revision || changedNames[name] {
 			events = append(events, Event{Object: o})
 		}
 	}
@@ -231,7 +233,7 @@
 func (k *kindReplica) listing() []Ref {
 	refs := make([]Ref, 0, len(k.objects))
 	for name, o := range k.objects {
-		refs = append(refs, Ref{Name: name, Revision: o.Revision})
+		refs = append(refs, Ref{Name: name, Revision: o.Version.Revision})
 	}
 	return refs
 }
--- a/state/object/object.go
+++ b/state/object/object.go
@@ -18,9 +18,9 @@
 // # Usage
 //
 //	replica := object.NewReplica()
-//	replica.Reset("routes", items, 12)
-//	replica.Apply("routes", 12, events, 15)
-//	delta, ok := replica.Since("routes", 14, true)
+//	replica.Reset("routes", items, listed)
+//	replica.Apply("routes", listed, events, watched)
+//	delta, ok := replica.Since("routes", peerVersion, true)
 package object
 
 import (
@@ -33,8 +33,8 @@
 // Object is an object of the store.
 type Object struct {
 	Name string
-	// Revision is the revision of the object's last change.
-	Revision uint64
+	// Version is that of the object's last change.
+	Version Version
 	// Spec is the object's content in the store's encoding. It is never modified in
 	// place.
 	Spec []byte
@@ -61,9 +61,9 @@
 	// Events then holds the objects that changed after Since.
 	Listed  bool
 	Listing []Ref
-	// Events is complete for the revisions after Since, up to and including
-	// Revision.
-	Since, UpTo uint64
+	// Events is complete for the versions after Since, up to and including
+	// UpTo.
+	Since, UpTo Version
 	Events      []Event
 }
 
@@ -90,4 +90,4 @@
 	return objects
 }
 
-func equalObjects(a, b Object) bool { return a.Revision == b.Revision && bytes.Equal(a.Spec, b.Spec) }
+func equalObjects(a, b Object) bool { return a.Version == b.Version && bytes.Equal(a.Spec, b.Spec) }
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -46,9 +46,9 @@
 	r.changed = make(chan struct{})
 }
 
-// Reset replaces all objects of a kind with their state at a revision. A state
+// Reset replaces all objects of a kind with their state at a version. A state
 // older than the replica's is ignored.
-func (r *Replica) Reset(name string, objects []Object, at uint64) {
+func (r *Replica) Reset(name string, objects []Object, at Version) {
 	events := make([]Event, 0, len(objects))
 	for _, o := range objects {
 		events = append(events, Event{Object: o})
@@ -56,9 +56,9 @@
 	r.Merge(Delta{Kind: name, Full: true, UpTo: at, Events: events})
 }
 
-// Apply applies the changes of a kind after revision since, up to and including
-// revision at.
-func (r *Replica) Apply(name string, since uint64, events []Event, at uint64) {
+// Apply applies the changes of a kind after version since, up to and including
+// version at.
+func (r *Replica) Apply(name string, since Version, events []Event, at Version) {
 	r.Merge(Delta{Kind: name, Since: since, UpTo: at, Events: events})
 }
 
@@ -77,19 +77,19 @@
 	return changed
 }
 
-// CompleteUpTo returns the revision up to which a kind is complete, and whether the replica
+// CompleteUpTo returns the version up to which a kind is complete, and whether the replica
 // has received the kind.
-func (r *Replica) CompleteUpTo(name string) (uint64, bool) {
+func (r *Replica) CompleteUpTo(name string) (Version, bool) {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.revision, k.initialized
+	return k.version, k.initialized
 }
 
-// LastChanged returns the revision of the last change to an object of a kind that this
+// LastChanged returns the version of the last change to an object of a kind that this
 // replica knows of. A replica that is complete up to it has everything that this
 // one has.
-func (r *Replica) LastChanged(name string) uint64 {
+func (r *Replica) LastChanged(name string) Version {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -108,26 +108,26 @@
 	return objects
 }
 
-// Since returns the smallest delta for a peer that is complete up to a revision, or
+// Since returns the smallest delta for a peer that is complete up to a version, or
 // that has no state if known is false. It returns false if the peer lacks nothing
 // or this replica has no state.
-func (r *Replica) Since(name string, revision uint64, known bool) (Delta, bool) {
+func (r *Replica) Since(name string, at Version, known bool) (Delta, bool) {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.initialized || known && revision >= k.revision {
+	if !k.initialized || known && at.Revision >= k.version.Revision {
 		return Delta{}, false
 	}
-	d := Delta{Kind: name, Since: revision, UpTo: k.revision}
+	d := Delta{Kind: name, Since: at, UpTo: k.version}
 	switch {
 	case !known:
-		d.Full, d.Since = true, 0
+		d.Full, d.Since = true, Version{}
 		d.Events = k.eventsAfter(0)
-	case k.historyCovers(revision):
-		d.Events = k.historyAfter(revision)
+	case k.historyCovers(at.Revision):
+		d.Events = k.historyAfter(at.Revision)
 	default:
 		d.Listed, d.Listing = true, k.listing()
-		d.Events = k.eventsAfter(revision)
+		d.Events = k.eventsAfter(at.Revision)
 	}
 	return d, true
 }
@@ -174,7 +174,7 @@
 // Mark identifies the state of one kind at one moment. The zero value is a state that the
 // store never confirmed.
 type Mark struct {
-	lastChanged uint64
+	lastChanged Version
 	confirmedAt time.Time
 }
 
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -16,6 +16,9 @@
 
 const kind = "things"
 
+// at returns the version at a revision of a store that reports no era.
+func at(revision uint64) object.Version { return object.Version{Revision: revision} }
+
 // store is the reference that replicas follow. Every change has a revision.
 type store struct {
 	revision uint64
@@ -25,7 +28,7 @@
 
 func (s *store) put(name string) {
 	s.revision++
-	o := object.Object{Name: name, Revision: s.revision, Spec: fmt.Appendf(nil, "%d", s.revision)}
+	o := object.Object{Name: name, Version: at(s.revision), Spec: fmt.Appendf(nil, "%d", s.revision)}
 	s.objects[name] = o
 	s.log = append(s.log, object.Event{Object: o})
 }
@@ -39,7 +42,7 @@
 	}
 	s.revision++
 	delete(s.objects, name)
-	s.log = append(s.log, object.Event{Object: object.Object{Name: name, Revision: o.Revision}, Deleted: true})
+	s.log = append(s.log, object.Event{Object: object.Object{Name: name, Version: o.Version}, Deleted: true})
 }
 
 func (s *store) list() []object.Object {
@@ -73,7 +76,7 @@
 		return fmt.Sprintf("%d objects held, %d in the store", len(held), len(s.objects))
 	}
 	for _, o := range held {
-		if s.objects[o.Name].Revision != o.Revision {
+		if s.objects[o.Name].Version.Revision != o.Version.Revision {
 			return "different revision of " + o.Name
 		}
 	}
@@ -83,12 +86,12 @@
 // catchUp applies the changes that a replica lacks and describes any difference
 // from the store.
 func catchUp(r *object.Replica, s *store) string {
-	at, known := r.CompleteUpTo(kind)
+	held, known := r.CompleteUpTo(kind)
 	if !known {
 		return ""
 	}
-	if at < s.revision {
-		r.Apply(kind, at, s.log[at:], s.revision)
+	if held.Revision < s.revision {
+		r.Apply(kind, held, s.log[held.Revision:], at(s.revision))
 	}
 	return difference(r, s)
 }
@@ -103,26 +106,26 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			i := rapid.IntRange(0, 2).Draw(t, "replica")
 			r := replicas[i]
-			at, known := r.CompleteUpTo(kind)
+			held, known := r.CompleteUpTo(kind)
 			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				s.put(name.Draw(t, "name"))
 			case 2:
 				s.remove(name.Draw(t, "name"))
 			case 3:
-				r.Reset(kind, s.list(), s.revision)
+				r.Reset(kind, s.list(), at(s.revision))
 			case 7:
-				first, at := s.list(), s.revision
+				first, firstAt := s.list(), s.revision
 				s.put(name.Draw(t, "name"))
 				s.remove(name.Draw(t, "name"))
-				r.Reset(kind, object.ApplyEvents(listInPages(first, s.list()), s.log[at:]), s.revision)
+				r.Reset(kind, object.ApplyEvents(listInPages(first, s.list()), s.log[firstAt:]), at(s.revision))
 			case 4:
-				if known && at < uint64(len(s.log)) {
-					to := at + uint64(rapid.IntRange(1, len(s.log)-int(at)).Draw(t, "to"))
-					r.Apply(kind, at, s.log[at:to], to)
+				if from := held.Revision; known && from < uint64(len(s.log)) {
+					to := from + uint64(rapid.IntRange(1, len(s.log)-int(from)).Draw(t, "to"))
+					r.Apply(kind, held, s.log[from:to], at(to))
 				}
 			case 5:
-				if d, ok := replicas[(i+1)%3].Since(kind, at, known); ok {
+				if d, ok := replicas[(i+1)%3].Since(kind, held, known); ok {
 					earlierDeltas = append(earlierDeltas, d)
 					r.Merge(d)
 				}
@@ -131,8 +134,8 @@
 					r.Merge(earlierDeltas[rapid.IntRange(0, len(earlierDeltas)-1).Draw(t, "late")])
 				}
 			}
-			if after, _ := r.CompleteUpTo(kind); after < at {
-				t.Fatalf("replica revision decreased from %d to %d", at, after)
+			if after, _ := r.CompleteUpTo(kind); after.Before(held) {
+				t.Fatalf("replica version decreased from %v to %v", held, after)
 			}
 		}
 		for i, r := range replicas {
@@ -150,28 +153,28 @@
 // dropped.
 func TestPeersGetChangesThatWatchMissed(t *testing.T) {
 	for name, missed := range map[string]object.Object{
-		"a change":     {Name: "a", Revision: 99, Spec: []byte("leaving")},
-		"a new object": {Name: "b", Revision: 99, Spec: []byte("closed")},
+		"a change":     {Name: "a", Version: at(99), Spec: []byte("leaving")},
+		"a new object": {Name: "b", Version: at(99), Spec: []byte("closed")},
 	} {
 		t.Run(name, func(t *testing.T) {
-			old := object.Object{Name: "a", Revision: 40, Spec: []byte("ready")}
+			old := object.Object{Name: "a", Version: at(40), Spec: []byte("ready")}
 			watcher, peer := object.NewReplica(), object.NewReplica()
 			for _, r := range []*object.Replica{watcher, peer} {
-				r.Reset(kind, []object.Object{old}, 90)
-				r.Apply(kind, 90, nil, 100) // The watch dropped the change at 99.
+				r.Reset(kind, []object.Object{old}, at(90))
+				r.Apply(kind, at(90), nil, at(100)) // The watch dropped the change at 99.
 			}
 			list := []object.Object{missed}
 			if missed.Name != old.Name {
 				list = append(list, old)
 			}
-			watcher.Reset(kind, list, 105)
-			at, known := peer.CompleteUpTo(kind)
-			d, ok := watcher.Since(kind, at, known)
+			watcher.Reset(kind, list, at(105))
+			held, known := peer.CompleteUpTo(kind)
+			d, ok := watcher.Since(kind, held, known)
 			if !ok || !peer.Merge(d) {
 				t.Fatalf("the delta changed nothing at the peer: %+v", d)
 			}
 			for _, o := range peer.Objects(kind) {
-				if o.Name == missed.Name && o.Revision == missed.Revision {
+				if o.Name == missed.Name && o.Version.Revision == missed.Version.Revision {
 					return
 				}
 			}
@@ -183,11 +186,11 @@
 // A peer must learn of the deletion of an object that no list contained.
 func TestDeletionBetweenLists(t *testing.T) {
 	watcher, peer := object.NewReplica(), object.NewReplica()
-	watcher.Reset(kind, nil, 90)
-	peer.Reset(kind, []object.Object{{Name: "a", Revision: 99}}, 100)
-	watcher.Reset(kind, nil, 105)
-	at, known := peer.CompleteUpTo(kind)
-	if d, ok := watcher.Since(kind, at, known); ok {
+	watcher.Reset(kind, nil, at(90))
+	peer.Reset(kind, []object.Object{{Name: "a", Version: at(99)}}, at(100))
+	watcher.Reset(kind, nil, at(105))
+	held, known := peer.CompleteUpTo(kind)
+	if d, ok := watcher.Since(kind, held, known); ok {
 		peer.Merge(d)
 	}
 	if held := peer.Objects(kind); len(held) != 0 {
@@ -198,16 +201,16 @@
 // A paged list may hold objects newer than its revision, which peers must still
 // receive from the watch.
 func TestListWithNewerObjects(t *testing.T) {
-	old, newer := object.Object{Name: "a", Revision: 8}, object.Object{Name: "a", Revision: 12}
+	old, newer := object.Object{Name: "a", Version: at(8)}, object.Object{Name: "a", Version: at(12)}
 	watcher, peer := object.NewReplica(), object.NewReplica()
-	peer.Reset(kind, []object.Object{old}, 10)
-	watcher.Reset(kind, []object.Object{newer}, 10)
-	watcher.Apply(kind, 10, []object.Event{{Object: newer}}, 12)
-	d, ok := watcher.Since(kind, 10, true)
+	peer.Reset(kind, []object.Object{old}, at(10))
+	watcher.Reset(kind, []object.Object{newer}, at(10))
+	watcher.Apply(kind, at(10), []object.Event{{Object: newer}}, at(12))
+	d, ok := watcher.Since(kind, at(10), true)
 	if !ok || !peer.Merge(d) {
 		t.Fatalf("the delta changed nothing at the peer: %+v", d)
 	}
-	if held := peer.Objects(kind); held[0].Revision != newer.Revision {
+	if held := peer.Objects(kind); held[0].Version != newer.Version {
 		t.Errorf("the peer is at revision 12 and holds %+v", held)
 	}
 }
@@ -216,32 +219,32 @@
 	Convey("An empty replica", t, func() {
 		r := object.NewReplica()
 		Convey("has no delta", func() {
-			_, ok := r.Since(kind, 0, false)
+			_, ok := r.Since(kind, at(0), false)
 			So(ok, ShouldBeFalse)
 		})
 		Convey("ignores changes without the preceding state", func() {
-			r.Apply(kind, 3, []object.Event{{Object: object.Object{Name: "a", Revision: 4}}}, 4)
+			r.Apply(kind, at(3), []object.Event{{Object: object.Object{Name: "a", Version: at(4)}}}, at(4))
 			So(r.Objects(kind), ShouldBeEmpty)
 		})
 	})
 	Convey("A replica at revision 5", t, func() {
 		r := object.NewReplica()
-		r.Reset(kind, []object.Object{{Name: "a", Revision: 2}, {Name: "b", Revision: 5}}, 5)
+		r.Reset(kind, []object.Object{{Name: "a", Version: at(2)}, {Name: "b", Version: at(5)}}, at(5))
 		Convey("sends a deletion to a peer that is behind", func() {
-			r.Apply(kind, 5, []object.Event{{Object: object.Object{Name: "a", Revision: 2}, Deleted: true}}, 6)
-			d, ok := r.Since(kind, 5, true)
+			r.Apply(kind, at(5), []object.Event{{Object: object.Object{Name: "a", Version: at(2)}, Deleted: true}}, at(6))
+			d, ok := r.Since(kind, at(5), true)
 			So(ok, ShouldBeTrue)
 			So(d.Full, ShouldBeFalse)
 			So(d.Events, ShouldHaveLength, 1)
 			So(d.Events[0].Deleted, ShouldBeTrue)
 		})
 		Convey("sends a full delta to an empty peer", func() {
-			d, _ := r.Since(kind, 0, false)
+			d, _ := r.Since(kind, at(0), false)
 			So(d.Full, ShouldBeTrue)
 			So(d.Events, ShouldHaveLength, 2)
 		})
 		Convey("sends a listing and the changed objects to a peer before its history", func() {
-			d, _ := r.Since(kind, 3, true)
+			d, _ := r.Since(kind, at(3), true)
 			So(d.Full, ShouldBeFalse)
 			So(d.Listed, ShouldBeTrue)
 			So(d.Listing, ShouldHaveLength, 2)
@@ -249,36 +252,36 @@
 			So(d.Events[0].Name, ShouldEqual, "b")
 			Convey("which brings it up to date", func() {
 				peer := object.NewReplica()
-				peer.Reset(kind, []object.Object{{Name: "a", Revision: 2}, {Name: "c", Revision: 3}}, 3)
+				peer.Reset(kind, []object.Object{{Name: "a", Version: at(2)}, {Name: "c", Version: at(3)}}, at(3))
 				So(peer.Merge(d), ShouldBeTrue)
 				So(peer.Objects(kind), ShouldResemble, r.Objects(kind))
-				at, _ := peer.CompleteUpTo(kind)
-				So(at, ShouldEqual, 5)
+				held, _ := peer.CompleteUpTo(kind)
+				So(held, ShouldEqual, at(5))
 			})
 			Convey("which marks a peer that lacks an object as inconsistent", func() {
 				peer := object.NewReplica()
-				peer.Reset(kind, []object.Object{{Name: "c", Revision: 3}}, 3)
+				peer.Reset(kind, []object.Object{{Name: "c", Version: at(3)}}, at(3))
 				So(peer.Merge(d), ShouldBeFalse)
 				So(peer.Inconsistent(kind), ShouldBeTrue)
 				Convey("until it gets a full delta", func() {
-					all, _ := r.Since(kind, 0, false)
+					all, _ := r.Since(kind, at(0), false)
 					So(peer.Merge(all), ShouldBeTrue)
 					So(peer.Inconsistent(kind), ShouldBeFalse)
 				})
 			})
 		})
 		Convey("sends the changes of a list to a peer at its previous revision", func() {
-			r.Reset(kind, []object.Object{{Name: "b", Revision: 5}, {Name: "c", Revision: 8}}, 9)
-			d, _ := r.Since(kind, 5, true)
+			r.Reset(kind, []object.Object{{Name: "b", Version: at(5)}, {Name: "c", Version: at(8)}}, at(9))
+			d, _ := r.Since(kind, at(5), true)
 			So(d.Full || d.Listed, ShouldBeFalse)
 			So(d.Events, ShouldHaveLength, 2) // The deletion of a, and c.
 		})
 		Convey("ignores an older list", func() {
-			r.Reset(kind, nil, 4)
+			r.Reset(kind, nil, at(4))
 			So(r.Objects(kind), ShouldHaveLength, 2)
 		})
 		Convey("deletes objects that a newer list lacks", func() {
-			r.Reset(kind, []object.Object{{Name: "b", Revision: 5}}, 7)
+			r.Reset(kind, []object.Object{{Name: "b", Version: at(5)}}, at(7))
 			So(r.Objects(kind), ShouldHaveLength, 1)
 		})
 	})
@@ -288,16 +291,16 @@
 func TestConfirmationOfMarkedState(t *testing.T) {
 	const kind = "workers"
 	r, start := object.NewReplica(), time.Now()
-	entry := object.Object{Name: "w", Revision: 1}
-	r.Reset(kind, []object.Object{entry}, 1)
+	entry := object.Object{Name: "w", Version: at(1)}
+	r.Reset(kind, []object.Object{entry}, at(1))
 	r.MarkConfirmed(kind, start)
 	m := r.Mark(kind)
-	r.Apply(kind, 1, nil, 2)
+	r.Apply(kind, at(1), nil, at(2))
 	r.MarkConfirmed(kind, start.Add(time.Second))
 	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start.Add(time.Second)) {
 		t.Errorf("unchanged state confirmed at %s, want the last confirmation", got.Sub(start))
 	}
-	r.Apply(kind, 2, []object.Event{{Object: entry, Deleted: true}}, 3)
+	r.Apply(kind, at(2), []object.Event{{Object: entry, Deleted: true}}, at(3))
 	r.MarkConfirmed(kind, start.Add(2*time.Second))
 	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start) {
 		t.Errorf("changed state confirmed at %s, want the time of the mark", got.Sub(start))
--- a/state/rollout/rollout.go
+++ b/state/rollout/rollout.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/ryehill/ryehill/state/object"
 )
 
 // ErrVersion reports a malformed version.
@@ -103,6 +105,6 @@
 	// Since is when the first VM recorded the order in the store, by that VM's clock;
 	// the zero time if none has.
 	Since time.Time
-	// Revision is the revision of the store's entry.
-	Revision uint64
+	// Entry is the version of the store's entry.
+	Entry object.Version
 }
--- a/state/worker/worker.go
+++ b/state/worker/worker.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/rollout"
 )
 
@@ -52,8 +53,8 @@
 	// Confirmed is when the store last contained the entry, if it has been missing since.
 	// It is zero while the entry exists.
 	Confirmed time.Time
-	// Revision is the revision of the store entry.
-	Revision uint64
+	// Entry is the version of the store entry.
+	Entry object.Version
 	// Version is the software version, 0 if unknown.
 	Version rollout.Version
 	// New is set while its version is being rolled out; see Track.
