--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -38,6 +38,7 @@
 	"github.com/ryehill/ryehill/coordination/intent"
 	"github.com/ryehill/ryehill/state/decision"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/share"
 	"github.com/ryehill/ryehill/state/spec"
 )
@@ -47,7 +48,7 @@
 	Fleet   *spec.Fleet
 	Traffic spec.Traffic
 	// Version is the version of Traffic.
-	Version uint64
+	Version object.Version
 	Halls   map[string]load.HallStatus
 	Now     time.Time
 }
@@ -144,7 +145,7 @@
 // source hall and, unless the move is only confirmed, the cached lookups of callers
 // have expired.
 func (f *Facts) changeTookEffect(m *spec.Move, source load.HallStatus) bool {
-	if source.Generation < f.Version || source.Missing > 0 {
+	if source.Version().Before(f.Version) || source.Missing > 0 {
 		return false
 	}
 	return m.State == spec.MoveConfirmed || f.Now.Sub(time.UnixMilli(m.ChangedAt)) >= f.Fleet.Interval()
--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ryehill/ryehill/coordination/controller"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/share"
 	"github.com/ryehill/ryehill/state/spec"
 )
@@ -29,7 +30,7 @@
 			Goal: 50 * share.Percent, Cap: 40 * share.Percent, Step: 5 * share.Percent, Share: 10 * share.Percent,
 			State: spec.MoveMoving, ChangedAt: now.Add(-time.Minute).UnixMilli(),
 		}}},
-		Version: 9, Now: now,
+		Version: object.Version{Revision: 9}, Now: now,
 		Halls: map[string]load.HallStatus{"a": status("a", load.ServiceStatus{Usable: 20, Busy: 10}), "b": status("b", target)},
 	}
 }
@@ -57,7 +58,8 @@
 		"target has no status": {target: idle, rule: controller.RuleStale, share: 100_000, state: spec.MovePaused, change: func(f *controller.Facts) {
 			delete(f.Halls, "b")
 		}},
-		"not in force at all VMs": {target: idle, share: 100_000, state: spec.MoveMoving, change: func(f *controller.Facts) { f.Version = 10 }},
+		"not in force at all VMs":  {target: idle, share: 100_000, state: spec.MoveMoving, change: func(f *controller.Facts) { f.Version.Revision = 10 }},
+		"not in force in this era": {target: idle, share: 100_000, state: spec.MoveMoving, change: func(f *controller.Facts) { f.Version = object.Version{Era: 1, Revision: 3} }},
 		"interval not elapsed": {target: idle, share: 100_000, state: spec.MoveMoving, change: func(f *controller.Facts) {
 			f.Traffic.Moves[0].ChangedAt = now.UnixMilli()
 		}},
--- a/coordination/traffic/traffic.go
+++ b/coordination/traffic/traffic.go
@@ -24,6 +24,7 @@
 	"github.com/ryehill/ryehill/coordination/controller"
 	"github.com/ryehill/ryehill/coordination/intent"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/spec"
 )
 
@@ -41,13 +42,13 @@
 // Store stores the traffic object and plans, and provides the status of halls. Its methods
 // may be called concurrently.
 type Store interface {
-	// Read returns the traffic object and its version. If there is none, it returns an
-	// empty object and version 0.
-	Read(ctx context.Context) (spec.Traffic, uint64, error)
-	// Write replaces the object if its version matches, 0 meaning that there is none, and
-	// returns the new version. The operation is a unique id of this write, by which the
-	// store recognizes a retry whose answer was lost.
-	Write(ctx context.Context, t spec.Traffic, version uint64, operation string) (uint64, error)
+	// Read returns the traffic object and what a write that replaces it depends on. If
+	// there is none, it returns an empty object and an empty Base.
+	Read(ctx context.Context) (spec.Traffic, Base, error)
+	// Write replaces the object if its version is that of the base, and returns the new
+	// version. The operation is a unique id of this write, by which the store recognizes
+	// a retry whose answer was lost.
+	Write(ctx context.Context, t spec.Traffic, base Base, operation string) (object.Version, error)
 	// Halls returns the latest status of every hall.
 	Halls(ctx context.Context) (map[string]load.HallStatus, error)
 	// SavePlan stores a plan, so that it can be confirmed at any VM.
@@ -56,10 +57,21 @@
 	Plan(ctx context.Context, id string) (intent.Plan, error)
 }
 
+// Base is what a write depends on: the state that it replaces.
+type Base struct {
+	// Version is that of the stored object, zero if there is none.
+	Version object.Version
+	// Edit is that of the traffic object.
+	Edit uint64
+	// Edits are the operations of the latest changes by operators that the object
+	// includes, oldest first. A store may record none.
+	Edits []string
+}
+
 // Result is the traffic object and its version after a write.
 type Result struct {
 	Traffic spec.Traffic
-	Version uint64
+	Version object.Version
 }
 
 // ErrAlreadyInForce is returned by the apply function of Update if its change is already in
@@ -75,15 +87,15 @@
 // as it was read.
 func Update(ctx context.Context, s Store, newOperation func() string, apply func(spec.Traffic) (spec.Traffic, error)) (Result, error) {
 	for attempt := 1; ; attempt++ {
-		t, version, err := s.Read(ctx)
+		t, base, err := s.Read(ctx)
 		if err != nil {
 			return Result{}, errors.Wrap(err, "traffic: read object")
 		}
 		next, err := apply(t)
 		if err != nil {
-			return Result{Traffic: t, Version: version}, err
+			return Result{Traffic: t, Version: base.Version}, err
 		}
-		written, err := s.Write(ctx, next, version, newOperation())
+		written, err := s.Write(ctx, next, base, newOperation())
 		if errors.Is(err, ErrConflict) && attempt < maxAttempts {
 			continue
 		}
@@ -105,7 +117,7 @@
 // Step takes all due steps of moves and returns the written object and the actions. If
 // there are no actions, nothing was written.
 func Step(ctx context.Context, c StepConfig) (Result, []controller.Action, error) {
-	t, version, err := c.Store.Read(ctx)
+	t, base, err := c.Store.Read(ctx)
 	if err != nil {
 		return Result{}, nil, errors.Wrap(err, "traffic: read object")
 	}
@@ -113,11 +125,11 @@
 	if err != nil {
 		return Result{}, nil, errors.Wrap(err, "traffic: read hall statuses")
 	}
-	next, actions := controller.Next(controller.Facts{Fleet: c.Fleet, Traffic: t, Version: version, Halls: halls, Now: c.Now()})
+	next, actions := controller.Next(controller.Facts{Fleet: c.Fleet, Traffic: t, Version: base.Version, Halls: halls, Now: c.Now()})
 	if len(actions) == 0 || c.IsController != nil && !c.IsController() {
 		return Result{}, nil, nil
 	}
-	written, err := c.Store.Write(ctx, next, version, c.Operation())
+	written, err := c.Store.Write(ctx, next, base, c.Operation())
 	if err != nil {
 		return Result{}, nil, errors.Wrap(err, "traffic: write object")
 	}
--- a/coordination/traffic/traffic_test.go
+++ b/coordination/traffic/traffic_test.go
@@ -13,6 +13,7 @@
 	"github.com/ryehill/ryehill/coordination/intent"
 	"github.com/ryehill/ryehill/coordination/traffic"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/share"
 	"github.com/ryehill/ryehill/state/spec"
 )
@@ -28,11 +29,11 @@
 	halls       map[string]load.HallStatus
 }
 
-func (m *memoryStore) Read(context.Context) (spec.Traffic, uint64, error) {
-	return m.traffic, m.version, nil
+func (m *memoryStore) Read(context.Context) (spec.Traffic, traffic.Base, error) {
+	return m.traffic, traffic.Base{Version: object.Version{Revision: m.version}}, nil
 }
 
-func (m *memoryStore) Write(_ context.Context, t spec.Traffic, version uint64, _ string) (uint64, error) {
+func (m *memoryStore) Write(_ context.Context, t spec.Traffic, base traffic.Base, _ string) (object.Version, error) {
 	m.writes++
 	if len(m.beforeWrite) > 0 {
 		first := m.beforeWrite[0]
@@ -40,14 +41,14 @@
 		first(m)
 	}
 	if m.writeErr != nil {
-		return 0, m.writeErr
+		return object.Version{}, m.writeErr
 	}
-	if version != m.version {
-		return 0, traffic.ErrConflict
+	if base.Version.Revision != m.version {
+		return object.Version{}, traffic.ErrConflict
 	}
 	m.traffic = t
 	m.version++
-	return m.version, nil
+	return object.Version{Revision: m.version}, nil
 }
 
 func (m *memoryStore) Halls(context.Context) (map[string]load.HallStatus, error) { return m.halls, nil }
@@ -90,7 +91,7 @@
 			if m.writes != c.writes {
 				t.Errorf("%d writes, want %d", m.writes, c.writes)
 			}
-			if err == nil && (written.Version != m.version || !traffic.HasIntent(m.traffic, "p")) {
+			if err == nil && (written.Version.Revision != m.version || !traffic.HasIntent(m.traffic, "p")) {
 				t.Errorf("written version %d, store version %d, traffic %v", written.Version, m.version, m.traffic)
 			}
 		})
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -14,6 +14,7 @@
 	"github.com/ryehill/ryehill/coordination/traffic"
 	"github.com/ryehill/ryehill/internal/metrics"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/transport/platform"
 )
@@ -34,32 +35,32 @@
 }
 
 // Read implements traffic.Store.
-func (s trafficStore) Read(ctx context.Context) (spec.Traffic, uint64, error) {
+func (s trafficStore) Read(ctx context.Context) (spec.Traffic, traffic.Base, error) {
 	o, err := s.platform.Get(ctx, trafficKey)
 	s.metrics.PlatformCall("traffic", err)
 	if errors.Is(err, platform.ErrNotFound) {
-		return spec.Traffic{}, 0, nil
+		return spec.Traffic{}, traffic.Base{}, nil
 	}
 	if err != nil {
-		return spec.Traffic{}, 0, err
+		return spec.Traffic{}, traffic.Base{}, err
 	}
 	value, err := o.Value()
 	if err != nil {
-		return spec.Traffic{}, 0, err
+		return spec.Traffic{}, traffic.Base{}, err
 	}
 	t, _ := value.(*spec.Traffic)
-	return *t, o.Version, nil
+	return *t, traffic.Base{Version: object.Version{Revision: o.Version}, Edit: t.Edit}, nil
 }
 
 // Write implements traffic.Store.
-func (s trafficStore) Write(ctx context.Context, t spec.Traffic, version uint64, operation string) (uint64, error) {
-	condition := platform.IfVersion(version)
-	if version == 0 {
+func (s trafficStore) Write(ctx context.Context, t spec.Traffic, base traffic.Base, operation string) (object.Version, error) {
+	condition := platform.IfVersion(base.Version.Revision)
+	if base.Version.Revision == 0 {
 		condition = platform.IfAbsent()
 	}
 	o := spec.Encode(trafficKey, &t)
 	if _, err := o.Value(); err != nil {
-		return 0, err
+		return object.Version{}, err
 	}
 	written, err := s.platform.Put(ctx, o, condition, operation)
 	s.metrics.PlatformCall("write-traffic", err)
@@ -69,7 +70,7 @@
 	case errors.Is(err, platform.ErrUnresolved):
 		err = errors.Mark(err, traffic.ErrUnresolved)
 	}
-	return written, err
+	return object.Version{Revision: written}, err
 }
 
 // Halls implements traffic.Store.
@@ -116,6 +117,6 @@
 // changed takes in a traffic object that is known to be in force.
 func (d *Daemon) changed(w traffic.Result) {
 	o := spec.Encode(trafficKey, &w.Traffic)
-	o.Version = w.Version
-	d.store.Apply(spread.Changes{Since: w.Version, Objects: []spec.Object{o}})
+	o.Version = w.Version.Revision
+	d.store.Apply(spread.Changes{Since: o.Version, Objects: []spec.Object{o}})
 }
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -12,7 +12,6 @@
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/route"
-	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
 )
@@ -23,13 +22,13 @@
 
 // compiler holds the inputs of the last snapshot. Only compileLoop uses it.
 type compiler struct {
-	// memberListVersion is the version of the last compiled list of VMs.
-	memberListVersion object.Version
-	configRevision    uint64
-	// refusedRevision is the revision of the last configuration that could not be
-	// decoded.
-	refusedRevision uint64
-	routes          *route.Table
+	// memberList is the generation of the last compiled list of VMs.
+	memberList uint64
+	// configEntry is the version of the last decoded configuration.
+	configEntry object.Version
+	// refusedEntry is the version of the last configuration that could not be decoded.
+	refusedEntry object.Version
+	routes       *route.Table
 	// pinnedShares maps each region to the fraction of all requests that must run there
 	// because of the workspaces' home regions.
 	pinnedShares  map[string]float64
@@ -39,9 +38,11 @@
 	hallColdUntil map[string]time.Time
 	// versions are the versions in use, by service.
 	versions activeVersions
-	// traffic holds the operators' moves and caps, at trafficVersion.
+	// traffic holds the operators' moves and caps, of the generation trafficContent.
 	traffic        *view.View
-	trafficVersion uint64
+	trafficContent uint64
+	// nextExpiry is when the next state of an earlier era ends, zero if none does.
+	nextExpiry time.Time
 }
 
 func newCompiler() compiler {
@@ -78,32 +79,40 @@
 	return min(compilePauseFactor*took, maxCompilePause)
 }
 
-// waitForChange waits for a change of the replica, or for the end of the grace period
-// of lapsed entries.
+// waitForChange waits for a change of the replica, for the end of the grace period of
+// lapsed entries or of a state of an earlier era, or for the end of the startup.
 func (g *Gateway) waitForChange(ctx context.Context, changed <-chan struct{}) {
-	var graceOver <-chan time.Time
+	var graceOver, expiry <-chan time.Time
 	if left := clock.Until(g.outage.graceEnd()); left > 0 {
 		timer := time.NewTimer(left)
 		defer timer.Stop()
 		graceOver = timer.C
 	}
+	if next := g.compiler.nextExpiry; !next.IsZero() {
+		timer := time.NewTimer(max(clock.Until(next), 0))
+		defer timer.Stop()
+		expiry = timer.C
+	}
 	select {
 	case <-ctx.Done():
 	case <-changed:
 	case <-graceOver:
+	case <-expiry:
+	case <-g.startup.wake():
 	}
 }
 
 func (g *Gateway) compile(now time.Time) {
 	c := &g.compiler
-	config := g.replica.LastChanged(g.cfg.Codec.ConfigKind())
+	c.nextExpiry = g.expireCarried()
+	config := g.replica.Generation(g.cfg.Codec.ConfigKind())
 	routesMark := g.replica.Mark(g.cfg.Codec.ConfigKind())
 	g.compileMembers(c)
 	g.compileQuarantine()
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.CompleteUpTo(g.cfg.Codec.WorkerKind())
 	_, closedKnown := g.replica.CompleteUpTo(g.cfg.Codec.ClosedKind())
-	if c.routes == nil || !workersKnown || !closedKnown {
+	if c.routes == nil || !workersKnown || !closedKnown || !g.startup.over(now) {
 		return
 	}
 	g.compileClosed(c, now)
@@ -115,7 +124,7 @@
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
 	}
 	g.snapshot.Store(s)
-	g.compiledConfig.Store(&config)
+	g.compiledConfig.Store(config)
 	g.loads.Prune(s.Workers.HasIncarnation)
 	g.permits.issuer.Retain(s.Workers.HasIncarnation)
 	if g.lifecycle.Current() == phaseStarting {
@@ -129,17 +138,17 @@
 	objects := g.replica.Objects(g.cfg.Codec.ConfigKind())
 	g.unused.retain(g.cfg.Codec.ConfigKind(), objects)
 	for _, o := range objects {
-		if o.Version.Revision <= c.configRevision || o.Version.Revision == c.refusedRevision {
+		if o.Version == c.configEntry || o.Version == c.refusedEntry {
 			continue
 		}
 		cfg, err := g.cfg.Codec.Routes(o)
 		if err != nil {
-			c.refusedRevision = o.Version.Revision
+			c.refusedEntry = o.Version
 			g.unused.record(g.cfg.Codec.ConfigKind(), o, err)
 			g.log.Error(err, "config: not taken", "object", o.Name, "revision", o.Version.Revision)
 			continue
 		}
-		c.configRevision = o.Version.Revision
+		c.configEntry = o.Version
 		if c.routes != nil && cfg.Version < c.routes.Version() {
 			continue
 		}
@@ -174,18 +183,17 @@
 // compileTraffic applies the operators' moves and caps. An object that cannot be
 // decoded changes nothing.
 func (g *Gateway) compileTraffic(c *compiler) {
-	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
-		if o.Name != spec.SingletonName || o.Version.Revision <= c.trafficVersion {
-			continue
-		}
-		t, _, err := decodeTraffic(o)
-		if err != nil {
-			g.unused.add(g.cfg.Codec.TrafficKind(), o, err)
-			continue
-		}
-		c.traffic, c.trafficVersion = view.Empty().WithTraffic(&t), o.Version.Revision
-		g.log.Info("traffic: applied", "revision", o.Version.Revision, "edit", t.Edit, "moves", len(t.Moves), "caps", len(t.Caps))
+	content := g.replica.Generation(g.cfg.Codec.TrafficKind())
+	if content == c.trafficContent {
+		return
+	}
+	c.trafficContent = content
+	state, ok := g.knownTraffic()
+	if !ok {
+		return
 	}
+	c.traffic = view.Empty().WithTraffic(&state.traffic)
+	g.log.Info("traffic: applied", "revision", state.version.Revision, "edit", state.traffic.Edit, "moves", len(state.traffic.Moves), "caps", len(state.traffic.Caps))
 }
 
 // drainWindow returns the drain window of objects of a kind that begin to leave with
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -90,6 +90,9 @@
 	Routes(o object.Object) (route.Config, error)
 	// Worker returns a worker and how long it stays cold.
 	Worker(o object.Object) (worker.Worker, time.Duration, error)
+	// Newer reports whether one state of an object was written after another, as far as
+	// their contents tell.
+	Newer(kind string, a, b object.Object) bool
 	// MemberName names the entry of a VM, such that those of a hall follow each
 	// other and come after the name for a VM of the hall without an id.
 	MemberName(vm spec.VM) string
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -52,9 +52,8 @@
 	if len(actions) == 0 {
 		return
 	}
-	g.trafficChanged(written)
 	for _, a := range actions {
 		g.cfg.Metrics.Stepped(string(a.Rule))
-		g.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason, "version", written.Version)
+		g.log.Info("controller: "+string(a.Rule), "move", a.Move, "reason", a.Reason, "version", written.Version.Revision)
 	}
 }
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -164,7 +164,7 @@
 	known.Full = true
 	g := &Gateway{
 		cfg: Config{Codec: codec, Log: logr.Discard(), Halls: map[string]string{"north-b": "north"}},
-		log: logr.Discard(), unused: newUnused(logr.Discard(), metrics.New()), replica: object.NewReplica(), loads: worker.NewLoads(time.Now), compiler: newCompiler(), rollouts: newRollouts(0),
+		log: logr.Discard(), unused: newUnused(logr.Discard(), metrics.New()), replica: object.NewReplica(object.ReplicaConfig{}), loads: worker.NewLoads(time.Now), compiler: newCompiler(), rollouts: newRollouts(0),
 	}
 	g.replica.Merge(known)
 	return func(change object.Delta) *worker.Set {
@@ -264,3 +264,9 @@
 func (g *Gateway) IssuePermits(incarnation string) int {
 	return g.permits.issueByIncarnation(incarnation, 0, 100).Requests
 }
+
+// Era returns the era of the replica of a kind.
+func (g *Gateway) Era(kind string) uint64 {
+	at, _ := g.replica.CompleteUpTo(kind)
+	return at.Era
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -377,6 +377,20 @@
 	return w, 0, err
 }
 
+func (codec) Newer(kind string, a, b object.Object) bool {
+	var first, second struct{ Version, Seq uint64 }
+	if json.Unmarshal(a.Spec, &first) != nil || json.Unmarshal(b.Spec, &second) != nil {
+		return false
+	}
+	switch kind {
+	case kindConfig:
+		return first.Version > second.Version
+	case kindWorkers:
+		return first.Seq > second.Seq
+	}
+	return false
+}
+
 func (codec) MemberName(vm spec.VM) string { return vm.Hall + "." + vm.ID }
 
 func (codec) EncodeMember(vm spec.VM) ([]byte, error) { return json.Marshal(vm) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,12 +111,14 @@
 	rollouts        *rollouts
 	// unused tracks the store's entries that cannot be used.
 	unused *unused
+	// startup delays serving until peers had the time to send their state.
+	startup startup
 	// quarantines tracks the requests that crash workers.
 	quarantines *quarantines
 	// keyFetches limits the fetches for unknown API keys.
 	keyFetches *keyFetches
-	// compiledConfig is the version of the newest configuration in the snapshot.
-	compiledConfig atomic.Pointer[object.Version]
+	// compiledConfig is the generation of the configuration in the snapshot.
+	compiledConfig atomic.Uint64
 	placer         *placement.Placer
 	balancer       *balancer
 	serveErrors    chan error
@@ -132,7 +134,7 @@
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log, started: start,
 		self:      peer.Identity{Fleet: cfg.Fleet, Hall: cfg.Hall, VM: cfg.VM, Start: uint64(start.UnixMicro())},
-		decisions: ingress.NewDecisions(), replica: object.NewReplica(), loads: worker.NewLoads(clock.Now),
+		decisions: ingress.NewDecisions(), loads: worker.NewLoads(clock.Now),
 		compiler: newCompiler(),
 		meters:   load.NewHallMeters(clock.Now), outlierDetector: outlier.New(outlier.Config{Now: clock.Now}),
 		serveErrors: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), largeReplies: newLargeReplies(),
@@ -144,6 +146,7 @@
 			{Name: "stop", Src: []string{phaseLeaving}, Dst: phaseStopped},
 		}, nil),
 	}
+	g.replica = object.NewReplica(object.ReplicaConfig{Policy: cfg.replicaPolicy, Now: clock.Now, OnEra: g.logEra})
 	g.members = membership.New(membership.Config{Now: clock.Now, AcrossHalls: true, Self: membership.Member{
 		VM: g.vm(), Start: g.self.Start,
 	}})
@@ -152,6 +155,7 @@
 	})
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
 	cold := placement.NewColdLimiter(placement.ColdLimiterConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: clock.Now})
+	g.startup.alone = !slices.ContainsFunc(cfg.Seeds, func(seed string) bool { return seed != cfg.Peer })
 	g.balancer = newBalancer(g.region())
 	g.permits = newPermits(g)
 	g.placer = placement.New(placement.Config{
--- a/internal/gateway/halls.go
+++ b/internal/gateway/halls.go
@@ -13,6 +13,7 @@
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/state/view"
 	"github.com/ryehill/ryehill/state/worker"
@@ -23,14 +24,16 @@
 const maxConcurrentReports = 32
 
 // trafficVersion returns the version of the operators' traffic object that is
-// replicated here.
-func (g *Gateway) trafficVersion() uint64 {
-	for _, o := range g.replica.Objects(g.cfg.Codec.TrafficKind()) {
+// replicated here, in the era of the replica.
+func (g *Gateway) trafficVersion() object.Version {
+	kind := g.cfg.Codec.TrafficKind()
+	at, _ := g.replica.CompleteUpTo(kind)
+	for _, o := range g.replica.Stored(kind) {
 		if o.Name == spec.SingletonName {
-			return o.Version.Revision
+			return object.Version{Era: at.Era, Revision: o.Version.Revision}
 		}
 	}
-	return 0
+	return object.Version{}
 }
 
 // hallStatuses requests the traffic to each hall from every live VM and sums the reports. A
--- a/internal/gateway/keys.go
+++ b/internal/gateway/keys.go
@@ -133,12 +133,8 @@
 
 // awaitCompiled waits until the known configuration is compiled.
 func (g *Gateway) awaitCompiled() {
-	known := g.replica.LastChanged(g.cfg.Codec.ConfigKind())
-	isCompiled := func() bool {
-		compiled := g.compiledConfig.Load()
-		return compiled != nil && !compiled.Before(known)
-	}
-	for start := clock.Now(); !isCompiled() && clock.Since(start) < compileWait; {
+	known := g.replica.Generation(g.cfg.Codec.ConfigKind())
+	for start := clock.Now(); g.compiledConfig.Load() < known && clock.Since(start) < compileWait; {
 		time.Sleep(compilePollInterval)
 	}
 }
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -30,13 +30,15 @@
 	peerError   string
 	// era is the newest era in a response of the store.
 	era uint64
+	// newEra is closed at the next new era.
+	newEra chan struct{}
 	// copies and copyBytes count the full copies of kinds sent to peers since the last
 	// log line.
 	copies, copyBytes int
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{overdue: make(map[string]time.Duration), storeErrors: make(map[string]string)}
+	return &knowledge{newEra: make(chan struct{}), overdue: make(map[string]time.Duration), storeErrors: make(map[string]string)}
 }
 
 // recordStoreCall records the result of the last call to the store for a kind.
@@ -55,8 +57,27 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	previous = k.era
-	k.era = max(k.era, era)
-	return previous, era > previous
+	if era <= previous {
+		return previous, false
+	}
+	k.era = era
+	close(k.newEra)
+	k.newEra = make(chan struct{})
+	return previous, true
+}
+
+// storeEra returns the newest era in a response of the store.
+func (k *knowledge) storeEra() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
+
+// eraChanged returns a channel that is closed at the next new era.
+func (k *knowledge) eraChanged() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.newEra
 }
 
 // recordEra records the version in a response of the store, and logs a new era.
--- a/internal/gateway/operators.go
+++ b/internal/gateway/operators.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ryehill/ryehill/coordination/traffic"
 	"github.com/ryehill/ryehill/state/load"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/transport/operator"
@@ -24,7 +25,8 @@
 		Quarantine: operator.QuarantineConfig{All: g.quarantines.table.All, Release: g.releaseQuarantined},
 		Rollouts:   operator.RolloutsConfig{All: g.rolloutStatuses, Stop: g.stopRollout},
 		Intents: operator.IntentsConfig{
-			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.planView, OnChange: g.trafficChanged,
+			VM: g.cfg.VM, Log: g.log, Store: trafficStore{g}, View: g.planView,
+			OnChange: func(traffic.Result) {}, // The store applies what it has written.
 		},
 	})
 }
@@ -32,7 +34,7 @@
 // status returns this VM's view of the fleet.
 func (g *Gateway) status(ctx context.Context) operator.Status {
 	s := operator.Status{
-		VM: g.cfg.VM, Hall: g.cfg.Hall, Generation: g.trafficVersion(), Platform: "up",
+		VM: g.cfg.VM, Hall: g.cfg.Hall, Generation: g.trafficVersion().Revision, Platform: "up",
 		Members: []operator.MemberStatus{operator.NewMemberStatus(g.members.Self())},
 	}
 	if age := g.maxReplicaAge(); age > g.cfg.StaleAfter+outageMargin {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,9 +64,10 @@
 }
 
 func (g *Gateway) probeMessage(to string) *peerpb.Probe {
-	p := &peerpb.Probe{Replicas: make(map[string]uint64), Signals: g.outgoingSignals()}
+	p := &peerpb.Probe{Replicas: make(map[string]uint64), Eras: make(map[string]uint64), KnowsEras: true, Signals: g.outgoingSignals()}
 	for _, kind := range g.replicatedKinds() {
-		p.Replicas[kind] = g.replica.LastChanged(kind).Revision
+		changed := g.replica.LastChanged(kind)
+		p.Replicas[kind], p.Eras[kind] = changed.Revision, changed.Era
 	}
 	for _, m := range g.members.Updates(to) {
 		p.News = append(p.News, peer.EncodeMember(m))
@@ -74,14 +75,15 @@
 	return p
 }
 
-func (g *Gateway) replicaRevisions() map[string]uint64 {
-	revisions := make(map[string]uint64)
+// replicaVersions returns the revisions up to which kinds are complete, and their eras.
+func (g *Gateway) replicaVersions() (revisions, eras map[string]uint64) {
+	revisions, eras = make(map[string]uint64), make(map[string]uint64)
 	for _, kind := range g.replicatedKinds() {
 		if at, ok := g.replica.CompleteUpTo(kind); ok && !g.replica.Inconsistent(kind) {
-			revisions[kind] = at.Revision
+			revisions[kind], eras[kind] = at.Revision, at.Era
 		}
 	}
-	return revisions
+	return revisions, eras
 }
 
 // handleProbe processes a probe or the reply to one. It fetches changes that the peer
@@ -91,8 +93,11 @@
 	g.applySignals(from.VM, p.GetSignals())
 	for _, kind := range g.replicatedKinds() {
 		at, known := g.replica.CompleteUpTo(kind)
-		peerRevision := p.GetReplicas()[kind]
-		if !known && peerRevision > 0 || peerRevision > at.Revision && clock.Since(g.replica.ConfirmedAt(kind)) > watcherStaleAfter {
+		changed, ok := g.peerVersion(kind, p.GetReplicas()[kind], p.GetEras()[kind], p.GetKnowsEras())
+		if !ok {
+			continue
+		}
+		if !known && changed.Revision > 0 || at.Before(changed) && clock.Since(g.replica.ConfirmedAt(kind)) > watcherStaleAfter {
 			go g.pullFrom(from)
 			return
 		}
@@ -178,7 +183,7 @@
 }
 
 func toDelta(d object.Delta) *peerpb.Delta {
-	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision}
+	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, SinceEra: d.Since.Era, Era: d.UpTo.Era}
 	for _, ref := range d.Listing {
 		out.Listing = append(out.Listing, &peerpb.ObjectRef{Name: ref.Name, Revision: ref.Revision})
 	}
@@ -189,13 +194,16 @@
 }
 
 func fromDelta(d *peerpb.Delta) object.Delta {
-	out := object.Delta{Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(), Since: object.Version{Revision: d.GetSince()}, UpTo: object.Version{Revision: d.GetAt()}}
+	out := object.Delta{
+		Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(),
+		Since: object.Version{Era: d.GetSinceEra(), Revision: d.GetSince()}, UpTo: object.Version{Era: d.GetEra(), Revision: d.GetAt()},
+	}
 	for _, ref := range d.GetListing() {
 		out.Listing = append(out.Listing, object.Ref{Name: ref.GetName(), Revision: ref.GetRevision()})
 	}
 	for _, e := range d.GetEvents() {
 		out.Events = append(out.Events, object.Event{
-			Object: object.Object{Name: e.GetName(), Version: object.Version{Revision: e.GetRevision()}, Spec: e.GetSpec()}, Deleted: e.GetGone(),
+			Object: object.Object{Name: e.GetName(), Version: object.Version{Era: d.GetEra(), Revision: e.GetRevision()}, Spec: e.GetSpec()}, Deleted: e.GetGone(),
 		})
 	}
 	return out
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,7 +13,6 @@
 	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
-	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/transport/peer"
 )
@@ -56,8 +55,8 @@
 	detected map[quarantine.Fingerprint]bool
 	// save wakes the loop that stores entries, wake the one that reports and detects.
 	save, wake chan struct{}
-	// compiledVersion is the content version of the stored entries last applied.
-	compiledVersion object.Version
+	// compiled is the generation of the stored entries last applied.
+	compiled uint64
 }
 
 func newQuarantines() *quarantines {
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -106,8 +106,8 @@
 	q, kind := g.quarantines, g.cfg.Codec.QuarantineKind()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	content := g.replica.LastChanged(kind)
-	if _, known := g.replica.CompleteUpTo(kind); !known || content == q.compiledVersion {
+	content := g.replica.Generation(kind)
+	if _, known := g.replica.CompleteUpTo(kind); !known || content == q.compiled {
 		return
 	}
 	var entries []quarantine.Entry
@@ -124,7 +124,7 @@
 		}
 		entries = append(entries, e)
 	}
-	q.compiledVersion = content
+	q.compiled = content
 	q.table.SyncStored(entries)
 	for f := range q.detected {
 		if _, ok := q.table.Get(f); !ok {
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -196,6 +196,11 @@
 		g.readRollout(ctx, o)
 		return
 	}
+	if written.Era != next.Entry.Era {
+		// The condition may have matched the order of another era.
+		g.readRollout(ctx, o)
+		return
+	}
 	next.Entry = written
 	g.rollouts.recordStored(o, next)
 	g.log.Info("rollout: status written", "service", next.Service, "version", next.Name, "state", phase.String(), "revision", written.Revision)
@@ -229,10 +234,10 @@
 func (r *rollouts) recordStored(o *order, stored rollout.Order) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if stored.Version != o.version || stored.Entry.Revision < o.stored.Entry.Revision {
+	if stored.Version != o.version || stored.Entry.Before(o.stored.Entry) {
 		return
 	}
-	o.stored = stored
+	o.stored = withKnownPhase(stored, o.stored)
 	if stored.Phase.Final() {
 		o.splitter.Apply(rolling.Step{Phase: stored.Phase})
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -88,8 +88,8 @@
 			held = r.addOrder(latest, now)
 			added = append(added, latest)
 		}
-		if latest.Entry.Revision >= held.stored.Entry.Revision {
-			held.stored = latest
+		if !latest.Entry.Before(held.stored.Entry) {
+			held.stored = withKnownPhase(latest, held.stored)
 		}
 		if latest.Phase.Final() {
 			held.splitter.Apply(rolling.Step{Phase: latest.Phase})
@@ -106,6 +106,15 @@
 	return added
 }
 
+// withKnownPhase returns an order as stored, with the phase and the start that this VM
+// knows if the store has returned from a copy that lacks them.
+func withKnownPhase(stored, known rollout.Order) rollout.Order {
+	if stored.Entry.Era > known.Entry.Era && known.Phase > stored.Phase {
+		stored.Phase, stored.Since = known.Phase, known.Since
+	}
+	return stored
+}
+
 // addOrder adds a new order. Time that has passed since another VM recorded its start
 // counts towards its deadline.
 func (r *rollouts) addOrder(next rollout.Order, now time.Time) *order {
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -222,3 +222,48 @@
 	rank := slices.Index(g.rankHall(), g.cfg.VM)
 	return g.bootstrapStart().Add(min(time.Duration(rank)*listStagger, maxListDelay))
 }
+
+// peerStateWait is how long a VM that has read the store waits for a serving peer before
+// it serves: the store may have returned from a copy that is older than what peers know.
+const peerStateWait = 200 * time.Millisecond
+
+// startup delays the first snapshot until a serving peer has sent its state. It is safe
+// for concurrent use.
+type startup struct {
+	mu sync.Mutex
+	// complete is when this VM had all state that it needs to serve.
+	complete time.Time
+	// alone is set if there are no peers to wait for.
+	alone, heard bool
+}
+
+// recordReply records a peer's reply.
+func (s *startup) recordReply(serving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard = s.heard || serving
+}
+
+// over reports whether this VM may serve with the state that it has.
+func (s *startup) over(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.complete.IsZero() {
+		s.complete = now
+	}
+	return s.alone || s.heard || now.Sub(s.complete) >= peerStateWait
+}
+
+// wake returns a channel that delivers when over may have changed, or nil once the VM
+// serves.
+func (s *startup) wake() <-chan time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.complete.IsZero() || s.alone || s.heard {
+		return nil
+	}
+	if left := peerStateWait - clock.Since(s.complete); left > 0 {
+		return time.After(min(left, startPollInterval))
+	}
+	return nil
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -61,8 +61,14 @@
 			g.log.Error(err, "peer: cannot decode delta", "peer", request.from.VM, "kind", d.GetKind())
 			return 0, err
 		}
-		g.mergeDelta(request.from.VM, fromDelta(d))
+		delta := fromDelta(d)
+		if !reply.GetKnowsEras() && !g.assumeEra(&delta) {
+			continue
+		}
+		g.mergeDelta(request.from.VM, delta)
 	}
+	g.applyCarried(reply.GetCarried())
+	g.startup.recordReply(reply.GetServing())
 	g.confirmFromReply(reply, sent)
 	return g.maxWatchedAge(reply), nil
 }
@@ -70,8 +76,9 @@
 // syncMessage builds a request for changes. Only requests with a hold also carry the
 // state that the VMs of a region share.
 func (g *Gateway) syncMessage(request syncRequest) *peerpb.Sync {
+	since, eras := g.replicaVersions()
 	message := &peerpb.Sync{
-		Since: g.replicaRevisions(), HoldMillis: uint32(request.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(request.depth),
+		Since: since, Eras: eras, KnowsEras: true, Starting: g.snapshot.Load() == nil, HoldMillis: uint32(request.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(request.depth),
 		Signals: g.outgoingSignals(),
 	}
 	if request.hold > 0 {
@@ -88,8 +95,13 @@
 func (g *Gateway) confirmFromReply(reply *peerpb.Synced, sent time.Time) {
 	repliedAt := sent.Add(time.Duration(reply.GetHeldMillis()) * time.Millisecond)
 	for kind, age := range reply.GetAgeMillis() {
-		if at, known := g.replica.CompleteUpTo(kind); known && at.Revision >= replyRevision(reply, kind, at.Revision) {
-			g.replica.MarkConfirmed(kind, repliedAt.Add(-time.Duration(age)*time.Millisecond))
+		at, known := g.replica.CompleteUpTo(kind)
+		if !known {
+			continue
+		}
+		revision := replyRevision(reply, kind, at.Revision)
+		if version, ok := g.peerVersion(kind, revision, reply.GetEras()[kind], reply.GetKnowsEras()); ok {
+			g.replica.MarkConfirmed(kind, version, repliedAt.Add(-time.Duration(age)*time.Millisecond))
 		}
 	}
 }
@@ -148,7 +160,7 @@
 		// the reported state seem older than it is, never newer.
 		held := clock.Since(received)
 		reply, onSent := g.syncReply(request)
-		if hasChanges(reply) || held >= hold {
+		if hasChanges(reply) || held >= hold || request.GetStarting() && reply.GetServing() {
 			g.knowledge.recordCopies(reply.GetDeltas())
 			reply.HeldMillis = uint32(held.Milliseconds())
 			onTableSent := g.addRegionState(reply, request)
@@ -179,7 +191,10 @@
 // without the deltas that are too large to send now. The caller calls onSent once the
 // reply has been sent.
 func (g *Gateway) syncReply(request *peerpb.Sync) (reply *peerpb.Synced, onSent func()) {
-	reply = &peerpb.Synced{AgeMillis: make(map[string]uint32), ListedVms: uint32(g.listedVMs())}
+	reply = &peerpb.Synced{
+		AgeMillis: make(map[string]uint32), ListedVms: uint32(g.listedVMs()),
+		Eras: g.eras(), KnowsEras: true, Carried: g.carriedFor(request), Serving: g.snapshot.Load() != nil,
+	}
 	for _, kind := range g.replicatedKinds() {
 		// The age is read first, so that the changes read afterwards are at least as
 		// new.
@@ -208,8 +223,10 @@
 
 // deltaFor returns the changes of a kind that the requesting VM does not have.
 func (g *Gateway) deltaFor(request *peerpb.Sync, kind string) (object.Delta, bool) {
-	since, known := request.GetSince()[kind]
-	d, ok := g.replica.Since(kind, object.Version{Revision: since}, known)
+	revision, known := request.GetSince()[kind]
+	// A VM that knows of no eras gets the changes of this VM's.
+	since, _ := g.peerVersion(kind, revision, request.GetEras()[kind], request.GetKnowsEras())
+	d, ok := g.replica.Since(kind, since, known)
 	if d.Listed && !request.GetTakesListed() {
 		return g.replica.Since(kind, object.Version{}, false)
 	}
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -27,84 +27,103 @@
 	writeRetryInterval = 400 * time.Millisecond
 )
 
-// storedTraffic is the stored form of the traffic object. The ID of the operation that
-// wrote it identifies a write whose response was lost.
-type storedTraffic struct {
-	Operation string          `json:"operation"`
-	Traffic   json.RawMessage `json:"traffic"`
-}
-
-// decodeTraffic decodes and validates a stored traffic object.
-func decodeTraffic(o object.Object) (spec.Traffic, string, error) {
-	var stored storedTraffic
-	if err := json.Unmarshal(o.Spec, &stored); err != nil {
-		return spec.Traffic{}, "", errors.Wrap(err, "gateway: decode traffic object")
-	}
-	key := spec.Key{Kind: spec.KindTraffic, Name: spec.SingletonName}
-	value, err := spec.Object{Key: key, Spec: stored.Traffic}.Value()
-	if err != nil {
-		return spec.Traffic{}, "", err
-	}
-	t, _ := value.(*spec.Traffic)
-	return *t, stored.Operation, nil
-}
-
-func encodeTraffic(t *spec.Traffic, operation string) ([]byte, error) {
-	key := spec.Key{Kind: spec.KindTraffic, Name: spec.SingletonName}
-	o := spec.Encode(key, t)
-	if _, err := o.Value(); err != nil {
-		return nil, err
-	}
-	return json.Marshal(storedTraffic{Operation: operation, Traffic: o.Spec})
-}
-
 // trafficStore stores the traffic object in the platform's store. It implements
 // traffic.Store.
 type trafficStore struct{ gateway *Gateway }
 
-// Read implements traffic.Store.
-func (s trafficStore) Read(ctx context.Context) (spec.Traffic, uint64, error) {
-	t, version, _, err := s.readWithOperation(ctx)
-	return t, version, err
+// Read implements traffic.Store. What this VM knows and the stored object lacks, since
+// the store returned from a copy, is part of the returned object.
+func (s trafficStore) Read(ctx context.Context) (spec.Traffic, traffic.Base, error) {
+	state, err := s.read(ctx)
+	if err != nil {
+		return spec.Traffic{}, traffic.Base{}, err
+	}
+	if known, ok := s.gateway.knownTraffic(); ok {
+		state = mergeTraffic(known, state)
+	}
+	return state.traffic, traffic.Base{Version: state.version, Edit: state.traffic.Edit, Edits: state.edits}, nil
 }
 
-func (s trafficStore) readWithOperation(ctx context.Context) (t spec.Traffic, version uint64, operation string, err error) {
+// read returns the stored object, or the zero value if there is none.
+func (s trafficStore) read(ctx context.Context) (trafficState, error) {
 	cfg := s.gateway.cfg
 	o, err := cfg.Store.Get(ctx, cfg.Codec.TrafficKind(), spec.SingletonName)
 	if errors.Is(err, ErrNotFound) {
-		return spec.Traffic{}, 0, "", nil
+		return trafficState{}, nil
 	}
 	if err != nil {
-		return spec.Traffic{}, 0, "", err
+		return trafficState{}, err
 	}
-	t, operation, err = decodeTraffic(o)
-	return t, o.Version.Revision, operation, err
+	s.gateway.recordEra(o.Version)
+	return decodeTraffic(o)
 }
 
 // Write implements traffic.Store. After a write without a response, it checks the
 // stored operation and retries while the condition still holds. The condition lets at
-// most one attempt take effect.
-func (s trafficStore) Write(ctx context.Context, t spec.Traffic, version uint64, operation string) (uint64, error) {
+// most one attempt take effect. The same check follows a write in another era, whose
+// condition may have matched another object.
+func (s trafficStore) Write(ctx context.Context, t spec.Traffic, base traffic.Base, operation string) (object.Version, error) {
 	cfg := s.gateway.cfg
-	body, err := encodeTraffic(&t, operation)
+	state := trafficState{traffic: t, operation: operation, edits: base.Edits}
+	if t.Edit != base.Edit {
+		state.edits = appendEdits(base.Edits, operation)
+	}
+	body, err := encodeTraffic(state)
 	if err != nil {
-		return 0, err
+		return object.Version{}, err
 	}
 	for range writeAttempts {
-		written, writeErr := cfg.Store.Replace(ctx, cfg.Codec.TrafficKind(), spec.SingletonName, object.Version{Revision: version}, body)
-		if writeErr == nil {
-			return written.Revision, nil
+		written, writeErr := cfg.Store.Replace(ctx, cfg.Codec.TrafficKind(), spec.SingletonName, base.Version, body)
+		s.gateway.recordEra(written)
+		if writeErr == nil && (base.Version.Revision == 0 || written.Era == base.Version.Era) {
+			s.gateway.applyTraffic(body, written)
+			return written, nil
 		}
-		_, current, lastOperation, err := s.readWithOperation(ctx)
+		current, err := s.read(ctx)
 		switch {
-		case err == nil && lastOperation == operation && current > 0:
-			return current, nil
-		case err == nil && current != version, errors.Is(writeErr, ErrConflict):
-			return 0, errors.Mark(errors.Wrapf(writeErr, "version %d, now %d", version, current), traffic.ErrConflict)
+		case err == nil && current.operation == operation && current.version.Revision > 0:
+			s.gateway.applyTraffic(body, current.version)
+			return current.version, nil
+		case err == nil && current.version != base.Version, errors.Is(writeErr, ErrConflict):
+			return object.Version{}, errors.Mark(errors.Newf("gateway: traffic object: version %v, now %v: %v", base.Version, current.version, writeErr), traffic.ErrConflict)
 		}
 		sleep(ctx, writeRetryInterval)
 	}
-	return 0, errors.Wrapf(traffic.ErrUnresolved, "operation %s", operation)
+	return object.Version{}, errors.Wrapf(traffic.ErrUnresolved, "operation %s", operation)
+}
+
+// applyTraffic applies a traffic object that this VM has written. It is the only object of
+// its kind, so the replica of the kind is complete with it.
+func (g *Gateway) applyTraffic(body []byte, version object.Version) {
+	o := object.Object{Name: spec.SingletonName, Version: version, Spec: body}
+	g.replica.Reset(g.cfg.Codec.TrafficKind(), []object.Object{o}, version)
+}
+
+// knownTraffic returns the traffic object as this VM knows it: the stored one with what an
+// earlier era had in addition.
+func (g *Gateway) knownTraffic() (trafficState, bool) {
+	kind := g.cfg.Codec.TrafficKind()
+	var state trafficState
+	found := false
+	for _, o := range g.replica.Stored(kind) {
+		if o.Name == spec.SingletonName {
+			state, found = g.decodeKnownTraffic(o)
+		}
+	}
+	for _, c := range g.replica.Carried(kind) {
+		if carried, ok := g.decodeKnownTraffic(c.Object); ok && c.Name == spec.SingletonName {
+			state, found = mergeTraffic(carried, state), true
+		}
+	}
+	return state, found
+}
+
+func (g *Gateway) decodeKnownTraffic(o object.Object) (trafficState, bool) {
+	state, err := decodeTraffic(o)
+	if err != nil {
+		g.unused.add(g.cfg.Codec.TrafficKind(), o, err)
+	}
+	return state, err == nil
 }
 
 // Halls implements traffic.Store.
@@ -154,14 +173,3 @@
 	}
 	return p, json.Unmarshal(o.Spec, &p)
 }
-
-// trafficChanged applies a traffic object that is known to be current. It is the only
-// object of its kind, so the replica of the kind is complete with it.
-func (g *Gateway) trafficChanged(w traffic.Result) {
-	body, err := encodeTraffic(&w.Traffic, "")
-	if err != nil {
-		return // An object that cannot be encoded was not written.
-	}
-	o := object.Object{Name: spec.SingletonName, Version: object.Version{Revision: w.Version}, Spec: body}
-	g.replica.Reset(g.cfg.Codec.TrafficKind(), []object.Object{o}, o.Version)
-}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,7 +44,7 @@
 // uses watches that the store holds; otherwise it calls the store only if no peer has
 // confirmed the replica for StaleAfter.
 func (g *Gateway) watchLoop(ctx context.Context, kind string) {
-	failures, historyExpired, changed := 0, false, false
+	failures, historyExpired, changed, awaitedPeers := 0, false, false, false
 	for ctx.Err() == nil {
 		if _, due := g.storeCallDue(kind); !due {
 			g.waitForStoreCall(ctx, kind)
@@ -55,6 +55,12 @@
 		if !due {
 			continue // A peer has confirmed the replica meanwhile.
 		}
+		if g.behindEra(kind) && !awaitedPeers {
+			awaitedPeers = true
+			g.awaitPeersEra(ctx, kind)
+			continue
+		}
+		awaitedPeers = false
 		if changed {
 			hold = min(hold, holdAfterEvents)
 		}
@@ -115,38 +121,52 @@
 func (g *Gateway) refresh(ctx context.Context, kind string, hold time.Duration, list bool) (changed bool, err error) {
 	since, known := g.replica.CompleteUpTo(kind)
 	started := clock.Now()
-	if !known || list || g.replica.Inconsistent(kind) {
-		objects, at, err := g.cfg.Store.List(ctx, kind, false)
-		if err == nil {
-			g.recordOutage(clock.Now())
-			g.recordEra(at)
-			if known && at.Revision < since.Revision {
-				g.log.Info("knowledge: list not applied, since it is older than the replica", "kind", kind, "revision", at.Revision, "replica", since.Revision)
-			}
-			g.replica.Reset(kind, objects, at)
-			g.replica.MarkConfirmed(kind, started)
-		}
-		return false, err
+	if !known || list || g.replica.Inconsistent(kind) || g.behindEra(kind) {
+		return false, g.list(ctx, kind, started)
 	}
 	events, at, err := g.cfg.Store.Watch(ctx, kind, since, hold)
+	g.recordEra(at)
 	if err != nil {
 		return false, err
 	}
+	if at.Era != since.Era {
+		return false, errors.Wrapf(ErrHistoryExpired, "era %d after %d", at.Era, since.Era)
+	}
 	g.recordOutage(clock.Now())
-	g.recordEra(at)
 	g.replica.Apply(kind, since, events, at)
 	confirmed := started
 	if len(events) == 0 && hold > minHold {
 		// The store held the call for the whole time and then reported no changes.
 		confirmed = started.Add(min(hold, clock.Since(started)))
 	}
-	g.replica.MarkConfirmed(kind, confirmed)
+	g.replica.MarkConfirmed(kind, at, confirmed)
 	if len(events) > 0 {
 		sleep(ctx, g.coalesceDelay())
 	}
 	return len(events) > 0, nil
 }
 
+// errListNotApplied reports a list that the replica did not take, since it holds the
+// state of a newer era.
+var errListNotApplied = errors.New("gateway: the list is of an earlier era than the replica")
+
+// list replaces the state of a kind by a list that was requested at a time.
+func (g *Gateway) list(ctx context.Context, kind string, started time.Time) error {
+	objects, at, err := g.cfg.Store.List(ctx, kind, false)
+	if err != nil {
+		return err
+	}
+	g.recordOutage(clock.Now())
+	g.recordEra(at)
+	g.replica.Reset(kind, objects, at)
+	held, _ := g.replica.CompleteUpTo(kind)
+	if at.Era < held.Era {
+		return errors.Wrapf(errListNotApplied, "era %d, replica %d", at.Era, held.Era)
+	}
+	g.replica.MarkConfirmed(kind, at, started)
+	return nil
+}
+
 // coalesceDelay returns how long to wait after events before the next watch.
 func (g *Gateway) coalesceDelay() time.Duration {
 	return time.Duration(coalesceFraction * float64(g.cfg.Bounds.ApplyWithin))
@@ -197,28 +217,49 @@
 			continue
 		}
 		g.storeBackoff.wait(ctx, g.maxStoreBackoff())
-		objects, at, err := g.cfg.Store.List(ctx, kind, wait == listInterval)
+		newEra := g.knowledge.eraChanged()
+		stale := wait == listInterval && !g.behindEra(kind)
+		objects, at, err := g.cfg.Store.List(ctx, kind, stale)
 		g.storeBackoff.recordResult(err)
-		if err == nil {
-			g.recordEra(at)
-			g.replica.Reset(kind, objects, at)
-			sleep(ctx, wait)
-			wait = listInterval
+		if err != nil {
+			sleep(ctx, maxBackoff)
 			continue
 		}
-		sleep(ctx, maxBackoff)
+		g.recordEra(at)
+		if stale && g.behindEra(kind) {
+			continue // Only a current list shows the state of a new era.
+		}
+		g.replica.Reset(kind, objects, at)
+		if g.sleepInEra(ctx, wait, newEra) {
+			wait = listInterval
+		} else {
+			wait = initialListInterval // A stale list may still be of the earlier era.
+		}
+	}
+}
+
+// sleepInEra waits for a time. It returns false at once if the store begins a new era.
+func (g *Gateway) sleepInEra(ctx context.Context, d time.Duration, newEra <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-newEra:
+		return false
 	}
+	return true
 }
 
 // compileMembers applies the list of VMs if it has changed. Decoding it costs as much
 // as everything else that a change of one worker requires.
 func (g *Gateway) compileMembers(c *compiler) {
 	kind := g.cfg.Codec.MemberKind()
-	at, known := g.replica.CompleteUpTo(kind)
-	content := g.replica.LastChanged(kind)
-	if !known || content == c.memberListVersion {
+	_, known := g.replica.CompleteUpTo(kind)
+	content := g.replica.Generation(kind)
+	if !known || content == c.memberList {
 		return
 	}
-	c.memberListVersion = content
-	g.members.SetList(spec.VMList{Version: at.Revision, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
+	c.memberList = content
+	g.members.SetList(spec.VMList{Version: content, VMs: g.cfg.Codec.Members(g.replica.Objects(kind))})
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -54,6 +54,9 @@
 	permits   *prometheus.CounterVec
 	unused    *prometheus.CounterVec
 	rollout   *prometheus.GaugeVec
+	eras      *prometheus.CounterVec
+	restored  *prometheus.CounterVec
+	dropped   *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -91,6 +94,9 @@
 		permits:   counter(r, "upstream_permits_total", "Permits that this VM wanted for requests to upstreams that name a limit, by service and result.", "service", "result"),
 		unused:    counter(r, "store_entries_unused_total", "Versions of the store's entries that were not used, by kind and reason.", "kind", "reason"),
 		rollout:   gauge(r, "rollout_phase", "How far a new version of a service has come, from 0 (ordered) over 1 (trial), 2 (shift) and 3 (proved) to 4 (rolled back) or 5 (completed), at the VM that decides.", "service"),
+		eras:      counter(r, "store_eras_entered_total", "Times that the replica of a kind passed to a new era of the store, by kind.", "kind"),
+		restored:  counter(r, "store_objects_restored_total", "Objects that this VM wrote again after the store had lost them, by kind.", "kind"),
+		dropped:   counter(r, "store_objects_not_restored_total", "Objects of an earlier era that nobody wrote again in time, by kind.", "kind"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -232,6 +238,15 @@
 // StoreEra sets the newest era of the platform's store.
 func (s *Set) StoreEra(era uint64) { s.era.Set(float64(era)) }
 
+// EraEntered counts a kind that passed to a new era of the store.
+func (s *Set) EraEntered(kind string) { s.eras.WithLabelValues(kind).Inc() }
+
+// Restored counts an object that was written again after the store had lost it.
+func (s *Set) Restored(kind string) { s.restored.WithLabelValues(kind).Inc() }
+
+// NotWrittenAgain counts objects of an earlier era that nobody wrote again in time.
+func (s *Set) NotWrittenAgain(kind string, n int) { s.dropped.WithLabelValues(kind).Add(float64(n)) }
+
 // Members sets how many VMs are in a state.
 func (s *Set) Members(state string, n int) { s.members.WithLabelValues(state).Set(float64(n)) }
 
--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -6,7 +6,7 @@
 # which alone knows them (docs/design/platform.md).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='Request-Deadline-Ms|Target-Instance|Response-Signature|Affinity-Key|Not-Executed|Server-Load|Server-Leaving|Server-Limit|pathPrefix|trafficSplit|coldLeft|callSeq|configVersion'
+names='Request-Deadline-Ms|Target-Instance|Response-Signature|Affinity-Key|Not-Executed|Server-Load|Server-Leaving|Server-Limit|Store-Era|pathPrefix|trafficSplit|coldLeft|callSeq|configVersion'
 if git grep -nE "$names" -- '*.go' ':!platform/'; then
   echo "names of the platform outside platform/" >&2
   exit 1
--- a/state/load/halls.go
+++ b/state/load/halls.go
@@ -7,6 +7,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/ryehill/ryehill/state/object"
 )
 
 // HallMeters measures what one VM sends to the workers of each hall, with one Meter per
@@ -41,19 +43,20 @@
 
 // Report is one VM's report on all halls.
 type Report struct {
-	// Generation is the generation in force at the VM.
+	// Era and Generation are the version in force at the VM.
+	Era        uint64 `json:"era,omitempty"`
 	Generation uint64 `json:"generation"`
 	// Halls holds the sums by hall and service.
 	Halls map[string]map[string]ServiceStatus `json:"halls"`
 }
 
-// Report returns this VM's report with the given generation. It leaves the slots for the
+// Report returns this VM's report with the version in force. It leaves the slots for the
 // reader to fill in.
-func (h *HallMeters) Report(generation uint64) Report {
+func (h *HallMeters) Report(version object.Version) Report {
 	h.mu.RLock()
 	meters := maps.Clone(h.meters)
 	h.mu.RUnlock()
-	report := Report{Generation: generation, Halls: make(map[string]map[string]ServiceStatus, len(meters))}
+	report := Report{Era: version.Era, Generation: version.Revision, Halls: make(map[string]map[string]ServiceStatus, len(meters))}
 	for hall, m := range meters {
 		services := make(map[string]ServiceStatus)
 		for _, service := range m.Services() {
@@ -68,18 +71,21 @@
 }
 
 // HallStatus returns the report's part on a hall, taken at a time. The part of a hall without
-// traffic still has the VM's generation.
+// traffic still has the VM's version.
 func (r Report) HallStatus(hall string, at time.Time) HallStatus {
-	return HallStatus{Hall: hall, At: at.UnixMilli(), Generation: r.Generation, VMs: 1, Services: r.Halls[hall]}
+	return HallStatus{Hall: hall, At: at.UnixMilli(), Era: r.Era, Generation: r.Generation, VMs: 1, Services: r.Halls[hall]}
 }
 
 // Merge adds another VM's status of the same hall. The result has the earliest time and the
-// lowest generation of both.
+// oldest version of both.
 func (h *HallStatus) Merge(o HallStatus) {
 	if h.VMs == 0 {
-		h.At, h.Generation = o.At, o.Generation
+		h.At = o.At
+	}
+	if h.VMs == 0 || o.Version().Before(h.Version()) {
+		h.Era, h.Generation = o.Era, o.Generation
 	}
-	h.At, h.Generation = min(h.At, o.At), min(h.Generation, o.Generation)
+	h.At = min(h.At, o.At)
 	h.VMs += o.VMs
 	h.Missing += o.Missing
 	if h.Services == nil {
--- a/state/load/halls_test.go
+++ b/state/load/halls_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ryehill/ryehill/state/load"
+	"github.com/ryehill/ryehill/state/object"
 )
 
 func TestHallMeters(t *testing.T) {
@@ -23,7 +24,7 @@
 		meters2.Meter("a").Begin("s")
 		meters2.Meter("b").Begin("s")
 		meters2.Meter("b").End("s", load.RequestResult{Refused: true})
-		first, second := meters1.Report(7), meters2.Report(5)
+		first, second := meters1.Report(object.Version{Revision: 7}), meters2.Report(object.Version{Revision: 5})
 		halls := make(map[string]load.HallStatus)
 		for _, hall := range []string{"a", "b", "c"} {
 			sum := load.HallStatus{Hall: hall}
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -22,6 +22,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/ryehill/ryehill/state/object"
 )
 
 // ServiceStatus sums the load of one service over one VM or one hall.
@@ -79,7 +81,8 @@
 	Hall string `json:"hall"`
 	// At is the Unix time in milliseconds at which the sums were taken.
 	At int64 `json:"at"`
-	// Generation is the lowest generation in force at a reporting VM.
+	// Era and Generation are the oldest version in force at a reporting VM.
+	Era        uint64                   `json:"era,omitempty"`
 	Generation uint64                   `json:"generation"`
 	VMs        int                      `json:"vms"`
 	Missing    int                      `json:"missing_vms"`
@@ -87,6 +90,11 @@
 	Links      map[string]float64       `json:"links,omitempty"`
 }
 
+// Version returns the oldest version in force at a reporting VM.
+func (h *HallStatus) Version() object.Version {
+	return object.Version{Era: h.Era, Revision: h.Generation}
+}
+
 // Age returns the age of the status at the given time.
 func (h *HallStatus) Age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(h.At)) }
 
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -4,6 +4,7 @@
 package object
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 
 // kindReplica holds the objects of one kind.
 type kindReplica struct {
+	policy Policy
+
 	mu           sync.Mutex
 	initialized  bool
 	inconsistent bool
@@ -32,11 +35,19 @@
 	objects        map[string]Object
 	// names are the object names in ascending order.
 	names []string
-	// history holds changes in the order of arrival. It is complete from revision
-	// oldest on, except for the gaps.
+	// history holds changes of the current era in the order of arrival. It is complete
+	// from revision oldest on, except for the gaps.
 	history []change
 	oldest  uint64
 	gaps    []gap
+	// previousEra is the era before the current one, if inEra is set. historyOfEra is
+	// set while the history names all objects that have changed since then.
+	previousEra         uint64
+	inEra, historyOfEra bool
+	// carried holds the states of earlier eras that are in use, by name.
+	carried map[string]carriedState
+	// generation counts the changes of the objects in use.
+	generation uint64
 }
 
 // change is an event in the history. A peer whose revision is below deliveredAt may
@@ -55,23 +66,27 @@
 }
 
 // merge applies a delta and reports whether any object changed.
-func (k *kindReplica) merge(d Delta) bool {
+func (k *kindReplica) merge(d Delta, now time.Time) bool {
 	switch {
+	case k.initialized && d.UpTo.Era != k.version.Era:
+		return k.version.Before(d.UpTo) && k.enterEra(d, now)
 	case d.Full:
 		return k.replace(d, namesOf(d.Events))
-	case !k.initialized || d.Since.Revision > k.version.Revision:
+	case !k.initialized || k.version.Before(d.Since):
 		return false // The changes in between are missing.
-	case d.UpTo.Revision <= k.version.Revision:
+	case !k.version.Before(d.UpTo):
 		return false
 	case d.Listed:
 		return k.mergeListing(d)
+	case d.Since.Era != d.UpTo.Era:
+		return false
 	}
 	changed := false
 	for _, e := range d.Events {
 		if e.Deleted {
-			// The store reports the revision of the last change before the
-			// deletion. Raise it, so that peers that are behind see the deletion.
-			e.Version.Revision = max(e.Version.Revision, d.UpTo.Revision)
+			// The store reports the version of the last change before the deletion.
+			// Raise it, so that peers that are behind see the deletion.
+			e.Version = Version{Era: d.UpTo.Era, Revision: max(e.Version.Revision, d.UpTo.Revision)}
 		}
 		changed = k.applyEvent(e, d.UpTo) || changed
 	}
@@ -96,8 +111,66 @@
 	return k.replace(d, names)
 }
 
-// markChanged extends the lower bound on the time of the pending changes.
+// enterEra applies the state of all objects in a newer era. A delta that does not
+// contain it, or a listing that does not match the objects held, is not applied.
+func (k *kindReplica) enterEra(d Delta, now time.Time) bool {
+	events := d.Events
+	if !d.Full {
+		if !d.Listed || d.Since.Era != k.version.Era {
+			return false
+		}
+		var ok bool
+		if events, ok = k.completeListing(d); !ok {
+			k.inconsistent = true
+			return false
+		}
+	}
+	before, deleted, previous := k.inUse(), k.deletions(), k.objects
+	k.previousEra, k.inEra, k.historyOfEra = k.version.Era, true, true
+	k.objects, k.names = make(map[string]Object, len(events)), nil
+	k.history, k.oldest, k.gaps = nil, d.UpTo.Revision, nil
+	for _, e := range events {
+		if e.Version.Revision > d.UpTo.Revision {
+			continue // Left to the subsequent watch, as in replace.
+		}
+		o := e.Object
+		if held, ok := previous[o.Name]; ok && held.Version.Revision == o.Version.Revision && bytes.Equal(held.Spec, o.Spec) {
+			o = held // Unchanged since the earlier era, so its version remains valid.
+		} else {
+			k.history = append(k.history, change{Event: Event{Object: o}, deliveredAt: d.UpTo.Revision})
+		}
+		k.objects[o.Name] = o
+		k.names = append(k.names, o.Name)
+	}
+	slices.Sort(k.names)
+	k.initialized, k.inconsistent, k.version, k.lastChanged = true, false, d.UpTo, d.UpTo
+	k.carryOver(before, deleted, now)
+	return true
+}
+
+// completeListing returns all objects that a listing of a newer era names: those in the
+// delta, and those held at the same revision, which the sender of the delta held in the
+// same era as well.
+func (k *kindReplica) completeListing(d Delta) ([]Event, bool) {
+	included := namesOf(d.Events)
+	events := slices.Clone(d.Events)
+	for _, ref := range d.Listing {
+		if included[ref.Name] {
+			continue
+		}
+		held, ok := k.objects[ref.Name]
+		if !ok || held.Version.Revision != ref.Revision {
+			return nil, false
+		}
+		events = append(events, Event{Object: held})
+	}
+	return events, true
+}
+
+// markChanged counts a change and extends the lower bound on the time of the pending
+// changes.
 func (k *kindReplica) markChanged() {
+	k.generation++
 	if from := k.confirmedAt; !k.changePending || from.Before(k.earliestChange) {
 		k.changePending, k.earliestChange = true, from
 	}
@@ -152,7 +225,7 @@
 func (k *kindReplica) applyEvent(e Event, upTo Version) bool {
 	current, ok := k.objects[e.Name]
 	switch {
-	case ok && (e.Version.Revision < current.Version.Revision || !e.Deleted && equalObjects(current, e.Object)):
+	case ok && (e.Version.Revision < current.Version.Revision || !e.Deleted && sameState(current, e.Object)):
 		return false
 	case e.Deleted && !ok:
 		return false
@@ -169,6 +242,10 @@
 		}
 		k.objects[e.Name] = e.Object
 	}
+	k.supersede(e)
+	if ok && !e.Deleted && k.policy.EveryUpdate && k.policy.newer(current, e.Object) {
+		k.carry(carriedState{object: current})
+	}
 	k.appendHistory(e, upTo)
 	return true
 }
@@ -190,6 +267,7 @@
 		k.oldest = max(k.oldest, c.deliveredAt)
 	}
 	k.history = slices.Clone(k.history[historyLength:])
+	k.historyOfEra = false
 	k.trimGaps()
 }
 
@@ -205,6 +283,12 @@
 	return revision >= k.oldest && !slices.ContainsFunc(k.gaps, inGap)
 }
 
+// namesChangesSince reports whether the history names all objects that differ from an
+// earlier era.
+func (k *kindReplica) namesChangesSince(era uint64) bool {
+	return k.inEra && k.historyOfEra && era == k.previousEra
+}
+
 // historyAfter returns the events that a peer at a revision may lack.
 func (k *kindReplica) historyAfter(revision uint64) []Event {
 	var events []Event
@@ -216,6 +300,28 @@
 	return events
 }
 
+// stored returns the store's objects, ordered by name.
+func (k *kindReplica) stored() []Object {
+	objects := make([]Object, 0, len(k.names))
+	for _, name := range k.names {
+		objects = append(objects, k.objects[name])
+	}
+	return objects
+}
+
+// changedObjects returns the current states of the objects in a part of the history.
+func (k *kindReplica) changedObjects(history []change) []Event {
+	var events []Event
+	seen := make(map[string]bool, len(history))
+	for _, c := range history {
+		if o, ok := k.objects[c.Name]; ok && !seen[c.Name] {
+			seen[c.Name] = true
+			events = append(events, Event{Object: o})
+		}
+	}
+	return events
+}
+
 // eventsAfter returns the objects that changed after a revision or whose last
 // change was delivered after it.
 func (k *kindReplica) eventsAfter(revision uint64) []Event {
--- a/state/object/object.go
+++ b/state/object/object.go
@@ -90,4 +90,8 @@
 	return objects
 }
 
-func equalObjects(a, b Object) bool { return a.Version == b.Version && bytes.Equal(a.Spec, b.Spec) }
+// sameState reports whether two objects of one era are the same state. The era of their
+// versions may differ: an object that is unchanged since an earlier era keeps its version.
+func sameState(a, b Object) bool {
+	return a.Version.Revision == b.Version.Revision && bytes.Equal(a.Spec, b.Spec)
+}
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -8,17 +8,47 @@
 	"time"
 )
 
+// ReplicaConfig configures a Replica. Now is required if Policy is set; the other fields
+// are optional.
+type ReplicaConfig struct {
+	// Policy returns the policy of a kind. Default: nothing is carried over.
+	Policy func(kind string) Policy
+	// Now returns the current time.
+	Now func() time.Time
+	// OnEra is called after a kind has passed to another era. It may be nil.
+	OnEra func(EraChange)
+}
+
+// EraChange describes how a kind passed from one era to another.
+type EraChange struct {
+	Kind     string
+	From, To Version
+	// Changed is the number of objects that differ in the new era.
+	Changed int
+	// Missing, Older and Deleted are the numbers of carried states: of objects that the
+	// new era lacks, holds in an older state, or holds although they were deleted.
+	Missing, Older, Deleted int
+}
+
 // Replica holds objects by kind. It is safe for concurrent use; each kind has its
 // own lock.
 type Replica struct {
+	cfg ReplicaConfig
+
 	mu      sync.Mutex
 	kinds   map[string]*kindReplica
 	changed chan struct{}
 }
 
 // NewReplica returns an empty replica.
-func NewReplica() *Replica {
-	return &Replica{kinds: make(map[string]*kindReplica), changed: make(chan struct{})}
+func NewReplica(cfg ReplicaConfig) *Replica {
+	if cfg.Policy == nil {
+		cfg.Policy = func(string) Policy { return Policy{} }
+	}
+	if cfg.Now == nil {
+		cfg.Now = func() time.Time { return time.Time{} }
+	}
+	return &Replica{cfg: cfg, kinds: make(map[string]*kindReplica), changed: make(chan struct{})}
 }
 
 func (r *Replica) kind(name string) *kindReplica {
@@ -26,7 +56,7 @@
 	defer r.mu.Unlock()
 	k, ok := r.kinds[name]
 	if !ok {
-		k = &kindReplica{objects: make(map[string]Object)}
+		k = &kindReplica{policy: r.cfg.Policy(name), objects: make(map[string]Object)}
 		r.kinds[name] = k
 	}
 	return k
@@ -47,7 +77,8 @@
 }
 
 // Reset replaces all objects of a kind with their state at a version. A state
-// older than the replica's is ignored.
+// older than the replica's is ignored. A state of a newer era replaces that of an older
+// one also if its revision is lower.
 func (r *Replica) Reset(name string, objects []Object, at Version) {
 	events := make([]Event, 0, len(objects))
 	for _, o := range objects {
@@ -66,14 +97,19 @@
 func (r *Replica) Merge(d Delta) bool {
 	k := r.kind(d.Kind)
 	k.mu.Lock()
-	changed := k.merge(d)
+	from, known := k.version, k.initialized
+	changed := k.merge(d, r.cfg.Now())
 	if changed {
 		k.markChanged()
 	}
+	change := k.eraChange(d.Kind, from)
 	k.mu.Unlock()
 	if changed {
 		r.signal()
 	}
+	if known && change.From.Era != change.To.Era && r.cfg.OnEra != nil {
+		r.cfg.OnEra(change)
+	}
 	return changed
 }
 
@@ -96,16 +132,85 @@
 	return k.lastChanged
 }
 
-// Objects returns all objects of a kind, ordered by name.
+// Objects returns the objects of a kind that are in use, ordered by name: those of the
+// store, except where a state of an earlier era takes precedence.
 func (r *Replica) Objects(name string) []Object {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	objects := make([]Object, 0, len(k.names))
-	for _, name := range k.names {
-		objects = append(objects, k.objects[name])
+	if len(k.carried) > 0 {
+		return sortedByName(k.inUse())
+	}
+	return k.stored()
+}
+
+// Stored returns the objects of a kind as the store holds them, ordered by name.
+func (r *Replica) Stored(name string) []Object {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stored()
+}
+
+// Carried returns the states of earlier eras that are in use, ordered by name.
+func (r *Replica) Carried(name string) []Carried {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.sortedCarried(r.cfg.Now())
+}
+
+// TakeCarried adds states of earlier eras that a peer uses, unless this replica has newer
+// ones, and reports whether it added any.
+func (r *Replica) TakeCarried(name string, states []Carried) bool {
+	k := r.kind(name)
+	k.mu.Lock()
+	taken := false
+	for _, c := range states {
+		taken = k.takeCarried(c, r.cfg.Now()) || taken
+	}
+	if taken {
+		k.markChanged()
+	}
+	k.mu.Unlock()
+	if taken {
+		r.signal()
+	}
+	return taken
+}
+
+// Expire ends the carried states of a kind whose time is over. It returns these and the
+// end of the next one, zero if there is none.
+func (r *Replica) Expire(name string) (ended []Carried, next time.Time) {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ended = k.expire(r.cfg.Now()); len(ended) > 0 {
+		k.markChanged()
+	}
+	for _, c := range k.carried {
+		if !c.until.IsZero() && (next.IsZero() || c.until.Before(next)) {
+			next = c.until
+		}
 	}
-	return objects
+	return ended, next
+}
+
+// Generation returns the number of changes of the objects of a kind in use. Unlike a
+// version, it has a meaning for this replica only.
+func (r *Replica) Generation(name string) uint64 {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.generation
+}
+
+// InEra reports whether a kind has passed from one era to another in this replica.
+func (r *Replica) InEra(name string) bool {
+	k := r.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.inEra
 }
 
 // Since returns the smallest delta for a peer that is complete up to a version, or
@@ -115,14 +220,17 @@
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.initialized || known && at.Revision >= k.version.Revision {
+	if !k.initialized || known && !at.Before(k.version) {
 		return Delta{}, false
 	}
 	d := Delta{Kind: name, Since: at, UpTo: k.version}
 	switch {
-	case !known:
+	case !known, at.Era != k.version.Era && !k.namesChangesSince(at.Era):
 		d.Full, d.Since = true, Version{}
 		d.Events = k.eventsAfter(0)
+	case at.Era != k.version.Era:
+		d.Listed, d.Listing = true, k.listing()
+		d.Events = k.changedObjects(k.history)
 	case k.historyCovers(at.Revision):
 		d.Events = k.historyAfter(at.Revision)
 	default:
@@ -153,14 +261,19 @@
 	return from
 }
 
-// MarkConfirmed records that the store reported a kind as complete at a time.
-func (r *Replica) MarkConfirmed(name string, at time.Time) {
+// MarkConfirmed records that the store reported a kind as complete up to a version at a
+// time. It returns false, and records nothing, if the replica does not hold that state.
+func (r *Replica) MarkConfirmed(name string, version Version, at time.Time) bool {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.initialized || version.Era != k.version.Era || k.version.Before(version) {
+		return false
+	}
 	if at.After(k.confirmedAt) {
 		k.confirmedAt = at
 	}
+	return true
 }
 
 // ConfirmedAt returns when the store last reported a kind as complete.
@@ -174,7 +287,7 @@
 // Mark identifies the state of one kind at one moment. The zero value is a state that the
 // store never confirmed.
 type Mark struct {
-	lastChanged Version
+	generation  uint64
 	confirmedAt time.Time
 }
 
@@ -184,7 +297,7 @@
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return Mark{lastChanged: k.lastChanged, confirmedAt: k.confirmedAt}
+	return Mark{generation: k.generation, confirmedAt: k.confirmedAt}
 }
 
 // ConfirmedAtMark returns when the store last reported a marked state of a kind as
@@ -193,7 +306,7 @@
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.lastChanged != m.lastChanged {
+	if k.generation != m.generation {
 		return m.confirmedAt
 	}
 	return k.confirmedAt
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -100,7 +100,7 @@
 func TestReplicasConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{objects: make(map[string]object.Object)}
-		replicas := []*object.Replica{object.NewReplica(), object.NewReplica(), object.NewReplica()}
+		replicas := []*object.Replica{object.NewReplica(object.ReplicaConfig{}), object.NewReplica(object.ReplicaConfig{}), object.NewReplica(object.ReplicaConfig{})}
 		name := rapid.SampledFrom([]string{"a", "b", "c"})
 		var earlierDeltas []object.Delta
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
@@ -158,7 +158,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			old := object.Object{Name: "a", Version: at(40), Spec: []byte("ready")}
-			watcher, peer := object.NewReplica(), object.NewReplica()
+			watcher, peer := object.NewReplica(object.ReplicaConfig{}), object.NewReplica(object.ReplicaConfig{})
 			for _, r := range []*object.Replica{watcher, peer} {
 				r.Reset(kind, []object.Object{old}, at(90))
 				r.Apply(kind, at(90), nil, at(100)) // The watch dropped the change at 99.
@@ -185,7 +185,7 @@
 
 // A peer must learn of the deletion of an object that no list contained.
 func TestDeletionBetweenLists(t *testing.T) {
-	watcher, peer := object.NewReplica(), object.NewReplica()
+	watcher, peer := object.NewReplica(object.ReplicaConfig{}), object.NewReplica(object.ReplicaConfig{})
 	watcher.Reset(kind, nil, at(90))
 	peer.Reset(kind, []object.Object{{Name: "a", Version: at(99)}}, at(100))
 	watcher.Reset(kind, nil, at(105))
@@ -202,7 +202,7 @@
 // receive from the watch.
 func TestListWithNewerObjects(t *testing.T) {
 	old, newer := object.Object{Name: "a", Version: at(8)}, object.Object{Name: "a", Version: at(12)}
-	watcher, peer := object.NewReplica(), object.NewReplica()
+	watcher, peer := object.NewReplica(object.ReplicaConfig{}), object.NewReplica(object.ReplicaConfig{})
 	peer.Reset(kind, []object.Object{old}, at(10))
 	watcher.Reset(kind, []object.Object{newer}, at(10))
 	watcher.Apply(kind, at(10), []object.Event{{Object: newer}}, at(12))
@@ -217,7 +217,7 @@
 
 func TestDeltas(t *testing.T) {
 	Convey("An empty replica", t, func() {
-		r := object.NewReplica()
+		r := object.NewReplica(object.ReplicaConfig{})
 		Convey("has no delta", func() {
 			_, ok := r.Since(kind, at(0), false)
 			So(ok, ShouldBeFalse)
@@ -228,7 +228,7 @@
 		})
 	})
 	Convey("A replica at revision 5", t, func() {
-		r := object.NewReplica()
+		r := object.NewReplica(object.ReplicaConfig{})
 		r.Reset(kind, []object.Object{{Name: "a", Version: at(2)}, {Name: "b", Version: at(5)}}, at(5))
 		Convey("sends a deletion to a peer that is behind", func() {
 			r.Apply(kind, at(5), []object.Event{{Object: object.Object{Name: "a", Version: at(2)}, Deleted: true}}, at(6))
@@ -251,7 +251,7 @@
 			So(d.Events, ShouldHaveLength, 1)
 			So(d.Events[0].Name, ShouldEqual, "b")
 			Convey("which brings it up to date", func() {
-				peer := object.NewReplica()
+				peer := object.NewReplica(object.ReplicaConfig{})
 				peer.Reset(kind, []object.Object{{Name: "a", Version: at(2)}, {Name: "c", Version: at(3)}}, at(3))
 				So(peer.Merge(d), ShouldBeTrue)
 				So(peer.Objects(kind), ShouldResemble, r.Objects(kind))
@@ -259,7 +259,7 @@
 				So(held, ShouldEqual, at(5))
 			})
 			Convey("which marks a peer that lacks an object as inconsistent", func() {
-				peer := object.NewReplica()
+				peer := object.NewReplica(object.ReplicaConfig{})
 				peer.Reset(kind, []object.Object{{Name: "c", Version: at(3)}}, at(3))
 				So(peer.Merge(d), ShouldBeFalse)
 				So(peer.Inconsistent(kind), ShouldBeTrue)
@@ -290,18 +290,18 @@
 // Guards against applying a confirmation to a state that it does not cover.
 func TestConfirmationOfMarkedState(t *testing.T) {
 	const kind = "workers"
-	r, start := object.NewReplica(), time.Now()
+	r, start := object.NewReplica(object.ReplicaConfig{}), time.Now()
 	entry := object.Object{Name: "w", Version: at(1)}
 	r.Reset(kind, []object.Object{entry}, at(1))
-	r.MarkConfirmed(kind, start)
+	r.MarkConfirmed(kind, at(1), start)
 	m := r.Mark(kind)
 	r.Apply(kind, at(1), nil, at(2))
-	r.MarkConfirmed(kind, start.Add(time.Second))
+	r.MarkConfirmed(kind, at(1), start.Add(time.Second))
 	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start.Add(time.Second)) {
 		t.Errorf("unchanged state confirmed at %s, want the last confirmation", got.Sub(start))
 	}
 	r.Apply(kind, at(2), []object.Event{{Object: entry, Deleted: true}}, at(3))
-	r.MarkConfirmed(kind, start.Add(2*time.Second))
+	r.MarkConfirmed(kind, at(1), start.Add(2*time.Second))
 	if got := r.ConfirmedAtMark(kind, m); !got.Equal(start) {
 		t.Errorf("changed state confirmed at %s, want the time of the mark", got.Sub(start))
 	}
--- a/transport/operator/intents.go
+++ b/transport/operator/intents.go
@@ -127,10 +127,10 @@
 		return
 	}
 	if err == nil {
-		i.cfg.Log.Info("operator: traffic changed", "id", id, "version", written.Version)
+		i.cfg.Log.Info("operator: traffic changed", "id", id, "version", written.Version.Revision)
 		i.cfg.OnChange(written)
 	}
-	outcome.WriteJSON(w, http.StatusOK, Accepted{ID: id, Version: written.Version})
+	outcome.WriteJSON(w, http.StatusOK, Accepted{ID: id, Version: written.Version.Revision})
 }
 
 func writeChangeFailure(w http.ResponseWriter, err error) {
