gateway: what the fleet wrote is written again after the store returned from a copy

Confirmed intents, quarantined requests, the states of rollouts and the entries of VMs were gone from the store with the copy's lost seconds, and nobody wrote them again: a drain held in memory until the last VM that knew it ended, and the next confirmed one replaced it; confirm said yes and the drain was never in force.

Each VM writes its own entry again, at a random time within a second; the controller writes what belongs to all, an intent merged with what an operator confirmed on the copy meanwhile. What nobody writes in time is logged and counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,8 @@
 	rollouts        *rollouts
 	// unused tracks the store's entries that cannot be used.
 	unused *unused
+	// restored tracks what this VM has written again in the current era.
+	restored restored
 	// startup delays serving until peers had the time to send their state.
 	startup startup
 	// quarantines tracks the requests that crash workers.
@@ -282,7 +284,7 @@
 }
 
 func (g *Gateway) backgroundLoops() []func(context.Context) {
-	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.bootstrapLoop, g.syncLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.quarantineLoop, g.quarantineStoreLoop, g.ingress.LogLosses}
+	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.bootstrapLoop, g.syncLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.quarantineLoop, g.quarantineStoreLoop, g.restoreLoop, g.ingress.LogLosses}
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	if g.rollouts.enabled() {
 		loops = append(loops, g.rolloutWatchLoop, g.rolloutLoop)
