--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -112,7 +112,7 @@
 	g.compileRoutes(c)
 	_, workersKnown := g.replica.CompleteUpTo(g.cfg.Codec.WorkerKind())
 	_, closedKnown := g.replica.CompleteUpTo(g.cfg.Codec.ClosedKind())
-	if c.routes == nil || !workersKnown || !closedKnown || !g.startup.over(now) {
+	if c.routes == nil || !workersKnown || !closedKnown || !g.startup.over(now, g.knowledge.storeEra()) {
 		return
 	}
 	g.compileClosed(c, now)
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -233,7 +233,7 @@
 	mu sync.Mutex
 	// complete is when this VM had all state that it needs to serve.
 	complete time.Time
-	// alone is set if there are no peers to wait for.
+	// alone is set if peers cannot know more than the store, or there are none.
 	alone, heard bool
 }
 
@@ -244,10 +244,12 @@
 	s.heard = s.heard || serving
 }
 
-// over reports whether this VM may serve with the state that it has.
-func (s *startup) over(now time.Time) bool {
+// over reports whether this VM may serve with the state that it has. In era 0 the store has
+// never returned from a copy.
+func (s *startup) over(now time.Time, era uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.alone = s.alone || era == 0
 	if s.complete.IsZero() {
 		s.complete = now
 	}
