worker, gateway: a leaving signal is kept for the process that sent it

The class is that of the store's return from a copy, knowledge kept under an identity that is replaced, the cause is another: no state of the store is involved, only the process that a response is ascribed to.

When the entry of the next process arrives, the signal goes over to it if the previous process had seemed to exit before the signal and the next one had started by then; both, so that a lost response or a signal of the first process does not take a healthy worker out of use.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -267,7 +267,8 @@
 			older.Entry = w.Entry
 			return &older, nil
 		}
-		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start)
+		leaving := g.loads.TransferLeaving(previous, &w)
+		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start, "leaving_signal_kept", leaving)
 		previous = nil
 	}
 	if cold > 0 {
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -125,6 +125,29 @@
 	return first
 }
 
+// TransferLeaving moves a leaving signal from a process of a worker to the next one if it
+// was the next one that sent it, before its entry arrived: the previous process seemed to
+// have exited before the signal, and the next one had started. It reports whether it did.
+func (l *Loads) TransferLeaving(previous, next *Worker) bool {
+	from, ok := l.Lookup(previous.Incarnation())
+	if !ok {
+		return false
+	}
+	leaving, exitedAt := from.leavingAndLastExit()
+	started := time.UnixMilli(int64(next.Start))
+	if leaving.Until.IsZero() || exitedAt.IsZero() || exitedAt.After(leaving.ObservedAt) || started.After(leaving.ObservedAt) {
+		return false
+	}
+	l.GetOrCreate(next.Incarnation()).Observe(leaving)
+	return true
+}
+
+func (l *Load) leavingAndLastExit() (leaving Leaving, exitedAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.signals.leaving, l.lastExit()
+}
+
 // observeExit applies an exit that another VM observed, the first response after it, or the
 // retraction of an earlier one.
 func (l *Load) observeExit(e SuspectedExit) (first bool) {
--- /dev/null
+++ b/state/worker/transfer_test.go
@@ -0,0 +1,55 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+// Guards against a leaving signal that is kept for the wrong process of a restarted worker.
+func TestTransferLeaving(t *testing.T) {
+	cases := map[string]struct {
+		// exited, started and signaled are when the first process exited, the second one
+		// started, and the signal came; 0 means never.
+		exited, started, signaled time.Duration
+		want                      bool
+	}{
+		"signal of the second process":          {exited: 1 * time.Second, started: 2 * time.Second, signaled: 3 * time.Second, want: true},
+		"signal of the first process":           {exited: 2 * time.Second, started: 3 * time.Second, signaled: 1 * time.Second},
+		"an exit that was a lost response":      {exited: 1 * time.Second, started: 9 * time.Second, signaled: 3 * time.Second},
+		"an exit that was not seen":             {started: 2 * time.Second, signaled: 3 * time.Second},
+		"no signal":                             {exited: 1 * time.Second, started: 2 * time.Second},
+		"a signal between the exit and the end": {exited: 3 * time.Second, started: 4 * time.Second, signaled: 2 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			begin := clock.Now()
+			loads := worker.NewLoads(clock.Now)
+			first := worker.Worker{ID: "w", Start: 1}
+			second := worker.Worker{ID: "w", Start: uint64(begin.Add(c.started).UnixMilli())}
+			load := loads.GetOrCreate(first.Incarnation())
+			for range 10 {
+				clock.Advance(time.Second)
+				if clock.Since(begin) == c.exited {
+					load.RecordAllConnectionsClosed()
+				}
+				if clock.Since(begin) == c.signaled {
+					load.Observe(worker.Leaving{DrainWindow: worker.DrainWindow{ObservedAt: clock.Now(), Until: clock.Now()}})
+				}
+			}
+			if got := loads.TransferLeaving(&first, &second); got != c.want {
+				t.Errorf("transferred %t, want %t", got, c.want)
+			}
+			if _, leaves := loads.Leaving(&second); leaves != c.want {
+				t.Errorf("the second process is leaving: %t, want %t", leaves, c.want)
+			}
+		})
+	}
+}
