--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -4,11 +4,8 @@
 package gateway
 
 import (
-	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/object"
 )
@@ -27,10 +24,6 @@
 	memberGrace = 3 * listInterval
 	// rolloutGrace is how long an order stays in force that the copy lacks.
 	rolloutGrace = 10 * time.Second
-	// minEraListDelay and maxEraListDelay bound the random time for which a VM that does
-	// not watch the store waits for a peer's state of a new era before it lists the kind.
-	minEraListDelay = maxSyncHold
-	maxEraListDelay = 900 * time.Millisecond
 )
 
 // replicaPolicy returns which states of earlier eras remain in use, by kind.
@@ -69,18 +62,6 @@
 	return known && at.Era < g.knowledge.storeEra()
 }
 
-// awaitPeersEra gives the peers time to send the state of a new era, unless this VM
-// watches the store for them. Otherwise all VMs would list the store at once.
-func (g *Gateway) awaitPeersEra(ctx context.Context, kind string) {
-	if g.watchesStore() {
-		return
-	}
-	end := clock.Now().Add(minEraListDelay + rand.N(maxEraListDelay-minEraListDelay))
-	for ctx.Err() == nil && g.behindEra(kind) && !g.watchesStore() && clock.Now().Before(end) {
-		sleep(ctx, startPollInterval)
-	}
-}
-
 // peerVersion returns a version of a kind that a peer reports. A peer that knows of no
 // eras is taken to be in that of this VM, which is not possible once the store has
 // returned from a copy.
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -44,7 +44,7 @@
 // uses watches that the store holds; otherwise it calls the store only if no peer has
 // confirmed the replica for StaleAfter.
 func (g *Gateway) watchLoop(ctx context.Context, kind string) {
-	failures, historyExpired, changed, awaitedPeers := 0, false, false, false
+	failures, historyExpired, changed := 0, false, false
 	for ctx.Err() == nil {
 		if _, due := g.storeCallDue(kind); !due {
 			g.waitForStoreCall(ctx, kind)
@@ -55,12 +55,6 @@
 		if !due {
 			continue // A peer has confirmed the replica meanwhile.
 		}
-		if g.behindEra(kind) && !awaitedPeers {
-			awaitedPeers = true
-			g.awaitPeersEra(ctx, kind)
-			continue
-		}
-		awaitedPeers = false
 		if changed {
 			hold = min(hold, holdAfterEvents)
 		}
