worker: an exit after a response of the next process is a new one

A response that came in between shows that a process had started, so an exit that was seen later than 0.2 s after it is another one.

--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -68,9 +68,13 @@
 }
 
 // isNewExit reports whether an exit at the given time is not an observation of the last
-// known one.
+// known one. A response since then is from the next process, which may exit at once.
 func (l *Load) isNewExit(at time.Time) bool {
-	return at.After(l.lastExit().Add(duplicateSignalWindow))
+	last := l.lastExit()
+	if at.After(last.Add(duplicateSignalWindow)) {
+		return true
+	}
+	return l.respondedAt.After(last) && at.After(l.respondedAt.Add(exitObservationSkew))
 }
 
 // exit is a suspected exit of a process and the first response after it at any VM.
