gateway: only current lists begin an era, and lists of an earlier one back off

A list of an earlier era than another response is a failure, so that it is not repeated at once. A starting VM's request is answered at once only if it waits for nothing but its peers' newer states; else a region that starts would have asked in a loop while large deltas wait.

--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/object"
 )
@@ -62,6 +63,12 @@
 	return known && at.Era < g.knowledge.storeEra()
 }
 
+// staleListsUsable reports whether a stale list of a kind can be applied. It may be some
+// seconds old, and so of an earlier era than its response.
+func (g *Gateway) staleListsUsable(kind string) bool {
+	return !g.behindEra(kind) && clock.Since(g.knowledge.eraSince()) >= listInterval
+}
+
 // peerVersion returns a version of a kind that a peer reports. A peer that knows of no
 // eras is taken to be in that of this VM, which is not possible once the store has
 // returned from a copy.
@@ -121,6 +128,17 @@
 	return states
 }
 
+// awaitsCarriedOnly reports whether a requesting VM has all state that it needs to serve and
+// waits only for what peers know beyond the store.
+func (g *Gateway) awaitsCarriedOnly(request *peerpb.Sync) bool {
+	for _, kind := range g.watchedKinds() {
+		if _, known := request.GetSince()[kind]; !known {
+			return false
+		}
+	}
+	return request.GetStarting()
+}
+
 // applyCarried takes over a peer's carried states.
 func (g *Gateway) applyCarried(states []*peerpb.CarriedState) {
 	byKind := make(map[string][]object.Carried)
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -30,8 +30,9 @@
 	peerError   string
 	// era is the newest era in a response of the store.
 	era uint64
-	// newEra is closed at the next new era.
-	newEra chan struct{}
+	// eraBegan is when this VM first heard of that era, newEra is closed at the next one.
+	eraBegan time.Time
+	newEra   chan struct{}
 	// copies and copyBytes count the full copies of kinds sent to peers since the last
 	// log line.
 	copies, copyBytes int
@@ -60,7 +61,7 @@
 	if era <= previous {
 		return previous, false
 	}
-	k.era = era
+	k.era, k.eraBegan = era, clock.Now()
 	close(k.newEra)
 	k.newEra = make(chan struct{})
 	return previous, true
@@ -73,6 +74,13 @@
 	return k.era
 }
 
+// eraSince returns when this VM first heard of the newest era, zero for era 0.
+func (k *knowledge) eraSince() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.eraBegan
+}
+
 // eraChanged returns a channel that is closed at the next new era.
 func (k *knowledge) eraChanged() <-chan struct{} {
 	k.mu.Lock()
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -34,13 +34,13 @@
 	for ; ctx.Err() == nil; g.quarantines.awaitSave(ctx) {
 		_, known := g.replica.CompleteUpTo(kind)
 		unsaved := g.entriesToSave(clock.Now())
-		if known && len(unsaved) == 0 && (!g.watchesStore() || clock.Since(listed) < listInterval) {
+		if known && len(unsaved) == 0 && (!g.watchesStore() || clock.Since(listed) < listInterval && !g.behindEra(kind)) {
 			continue
 		}
 		g.storeBackoff.wait(ctx, g.maxStoreBackoff())
 		err := g.saveQuarantine(ctx, unsaved)
 		if err == nil {
-			err = g.listQuarantine(ctx, known && len(unsaved) == 0)
+			err = g.listQuarantine(ctx, known && len(unsaved) == 0 && g.staleListsUsable(kind))
 		}
 		g.storeBackoff.recordResult(err)
 		if err != nil {
@@ -84,6 +84,9 @@
 		return errors.Wrap(err, "quarantine: list entries")
 	}
 	g.recordEra(at)
+	if stale && g.behindEra(kind) {
+		return g.listQuarantine(ctx, false)
+	}
 	g.replica.Reset(kind, objects, at)
 	g.compileQuarantine()
 	if !g.watchesStore() {
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -160,7 +160,7 @@
 		// the reported state seem older than it is, never newer.
 		held := clock.Since(received)
 		reply, onSent := g.syncReply(request)
-		if hasChanges(reply) || held >= hold || request.GetStarting() && reply.GetServing() {
+		if hasChanges(reply) || held >= hold || reply.GetServing() && g.awaitsCarriedOnly(request) {
 			g.knowledge.recordCopies(reply.GetDeltas())
 			reply.HeldMillis = uint32(held.Milliseconds())
 			onTableSent := g.addRegionState(reply, request)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -140,9 +140,8 @@
 	return len(events) > 0, nil
 }
 
-// errListNotApplied reports a list that the replica did not take, since it holds the
-// state of a newer era.
-var errListNotApplied = errors.New("gateway: the list is of an earlier era than the replica")
+// errEarlierEra reports a list of an earlier era than another response of the store.
+var errEarlierEra = errors.New("gateway: the list is of an earlier era of the store")
 
 // list replaces the state of a kind by a list that was requested at a time.
 func (g *Gateway) list(ctx context.Context, kind string, started time.Time) error {
@@ -153,9 +152,8 @@
 	g.recordOutage(clock.Now())
 	g.recordEra(at)
 	g.replica.Reset(kind, objects, at)
-	held, _ := g.replica.CompleteUpTo(kind)
-	if at.Era < held.Era {
-		return errors.Wrapf(errListNotApplied, "era %d, replica %d", at.Era, held.Era)
+	if era := g.knowledge.storeEra(); at.Era < era {
+		return errors.Wrapf(errEarlierEra, "%d, not %d", at.Era, era)
 	}
 	g.replica.MarkConfirmed(kind, at, started)
 	return nil
@@ -212,7 +210,7 @@
 		}
 		g.storeBackoff.wait(ctx, g.maxStoreBackoff())
 		newEra := g.knowledge.eraChanged()
-		stale := wait == listInterval && !g.behindEra(kind)
+		stale := wait == listInterval && g.staleListsUsable(kind)
 		objects, at, err := g.cfg.Store.List(ctx, kind, stale)
 		g.storeBackoff.recordResult(err)
 		if err != nil {
@@ -221,28 +219,23 @@
 		}
 		g.recordEra(at)
 		if stale && g.behindEra(kind) {
-			continue // Only a current list shows the state of a new era.
+			continue // Only a current list begins an era.
 		}
 		g.replica.Reset(kind, objects, at)
-		if g.sleepInEra(ctx, wait, newEra) {
-			wait = listInterval
-		} else {
-			wait = initialListInterval // A stale list may still be of the earlier era.
-		}
+		g.sleepInEra(ctx, wait, newEra)
+		wait = listInterval
 	}
 }
 
-// sleepInEra waits for a time. It returns false at once if the store begins a new era.
-func (g *Gateway) sleepInEra(ctx context.Context, d time.Duration, newEra <-chan struct{}) bool {
+// sleepInEra waits for a time, or until the store begins a new era.
+func (g *Gateway) sleepInEra(ctx context.Context, d time.Duration, newEra <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-newEra:
-		return false
 	}
-	return true
 }
 
 // compileMembers applies the list of VMs if it has changed. Decoding it costs as much
