--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -270,3 +270,19 @@
 	at, _ := g.replica.CompleteUpTo(kind)
 	return at.Era
 }
+
+// TrafficRevision returns the revision up to which the traffic object is replicated.
+func (g *Gateway) TrafficRevision() uint64 {
+	at, _ := g.replica.CompleteUpTo(g.cfg.Codec.TrafficKind())
+	return at.Revision
+}
+
+// RolloutPhase returns the phase of the order for a service as stored.
+func (g *Gateway) RolloutPhase(service string) rollout.Phase {
+	g.rollouts.mu.Lock()
+	defer g.rollouts.mu.Unlock()
+	if o, ok := g.rollouts.orders[service]; ok {
+		return o.stored.Phase
+	}
+	return rollout.PhaseOrdered
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -154,6 +154,8 @@
 	// loseBeforeWrite is set, else after it.
 	repliesToLose   int
 	loseBeforeWrite bool
+	// staleState is what stale lists show in place of the current state, if not nil.
+	staleState *storeCopy
 }
 
 // loseWriteReplies makes the next n calls of Replace fail before or after their write.
@@ -259,18 +261,32 @@
 	return nil
 }
 
-func (d *storeClient) List(ctx context.Context, kind string, _ bool) ([]object.Object, object.Version, error) {
+// setStaleState sets what stale lists show.
+func (d *storeClient) setStaleState(c *storeCopy) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.staleState = c
+}
+
+func (d *storeClient) List(ctx context.Context, kind string, stale bool) ([]object.Object, object.Version, error) {
 	if err := d.beginCall(ctx, "list "+kind, time.Second); err != nil {
 		return nil, object.Version{}, err
 	}
+	d.mu.Lock()
+	staleState := d.staleState
+	d.mu.Unlock()
 	d.store.mu.Lock()
 	defer d.store.mu.Unlock()
+	objects, at := d.store.kinds[kind], d.store.version()
+	if stale && staleState != nil {
+		objects, at.Revision = staleState.kinds[kind], staleState.revision
+	}
 	var list []object.Object
-	for _, o := range d.store.kinds[kind] {
+	for _, o := range objects {
 		list = append(list, d.store.current(o))
 	}
 	slices.SortFunc(list, func(a, b object.Object) int { return cmp.Compare(a.Name, b.Name) })
-	return list, d.store.version(), nil
+	return list, at, nil
 }
 
 func (d *storeClient) Page(ctx context.Context, kind, after string) ([]object.Object, error) {
@@ -378,7 +394,10 @@
 }
 
 func (codec) Newer(kind string, a, b object.Object) bool {
-	var first, second struct{ Version, Seq uint64 }
+	var first, second struct {
+		Version, Seq uint64
+		Phase        rollout.Phase
+	}
 	if json.Unmarshal(a.Spec, &first) != nil || json.Unmarshal(b.Spec, &second) != nil {
 		return false
 	}
@@ -387,6 +406,8 @@
 		return first.Version > second.Version
 	case kindWorkers:
 		return first.Seq > second.Seq
+	case kindRollouts:
+		return first.Version == second.Version && first.Phase > second.Phase
 	}
 	return false
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -14,6 +14,7 @@
 	"github.com/ryehill/ryehill/coordination/intent"
 	"github.com/ryehill/ryehill/internal/gateway"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/rollout"
 	"github.com/ryehill/ryehill/state/spec"
 	"github.com/ryehill/ryehill/transport/operator"
 )
@@ -148,6 +149,60 @@
 	e.awaitDrains(vms, "a1", "b1")
 }
 
+// Guards against stale lists of before the return that hide the state after it.
+func TestStaleListsAfterStoreReturnsFromCopy(t *testing.T) {
+	t.Parallel()
+	f, vms := startIntentFleet(t)
+	e := &eraFleet{fleet: f, version: 1}
+	copied := f.store.copyState()
+	e.makeLostChanges()
+	old := f.store.copyState()
+	for _, v := range vms {
+		v.storeClient.setStaleState(&old)
+	}
+	e.returnFrom(copied, nil)
+	time.Sleep(3 * time.Second) // Until the lists after the return.
+	confirmDrain(t, vms[0], "a1")
+	e.awaitDrains(vms, "a1")
+	for _, v := range vms {
+		if at := v.TrafficRevision(); at >= old.revision {
+			t.Errorf("%s is at revision %d of the traffic object, before the return at %d", v.name, at, old.revision)
+		}
+	}
+}
+
+// Guards against a rollout that is judged again since the store lost its state.
+func TestRolloutStateAfterStoreReturnsFromCopy(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	e := &eraFleet{fleet: f, version: 1}
+	f.startWorker("w1", "s", "north-a")
+	order := rollout.Order{Service: "s", Version: 2, Name: "v2", Duration: time.Minute}
+	for _, name := range []string{"a", "b"} {
+		v := f.startVM(name, "north-a", func(c *gateway.Config, _ *storeClient) { c.Bounds.RolloutShare = 0.1 })
+		f.waitFor(name+" is ready", v.ready)
+	}
+	f.store.put(kindRollouts, "s", order)
+	copied := f.store.copyState()
+	e.makeLostChanges()
+	order.Phase = rollout.PhaseRolledBack
+	f.store.put(kindRollouts, "s", order)
+	phase := func() rollout.Phase {
+		stored, _ := codec{}.Rollout(f.store.get(kindRollouts, "s"))
+		return stored.Phase
+	}
+	for _, v := range f.vms {
+		f.waitFor(v.name+" knows the result", func() bool { return v.RolloutPhase("s") == rollout.PhaseRolledBack })
+	}
+	e.returnFrom(copied, nil)
+	e.waitWithin(restoreWithin, "the result is stored again", func() bool { return phase() == rollout.PhaseRolledBack })
+	for _, v := range f.vms {
+		if got := v.RolloutPhase("s"); got != rollout.PhaseRolledBack {
+			t.Errorf("%s has phase %s", v.name, got)
+		}
+	}
+}
+
 // Guards against VMs that stay unlisted since the store lost their entries, and against
 // all VMs writing theirs.
 func TestVMEntriesAfterStoreReturnsFromCopy(t *testing.T) {
