--- a/Makefile
+++ b/Makefile
@@ -33,14 +33,17 @@
 # One package after the other: several run whole fleets, and a machine that is
 # short of processor time makes them refuse what they would else carry. For the
 # same reason four tests of a package run at a time: a session starts 13 processes.
-# The gateway's tests of a store that returns from a copy run apart from its others, so that
-# each run stays within the time limit of a package.
+# The soak, and the gateway's tests of a store that returns from a copy, run apart from the
+# others of their packages, so that each run stays within the time limit.
 # SKIP names tests that are left out, as a pattern; CI sets it from KNOWN-RED.txt.
 TEST := go test -race -p 1 -parallel 4 -timeout 8m
 RETURNS := FromCop|NewEra|GoesBack|WrittenAgain
+SOAK := ^TestSoak
 SKIPPED := $(if $(SKIP),^($(SKIP))$$)
 test:
-	$(TEST) $(if $(SKIP),-skip '$(SKIPPED)') $$(go list ./... | grep -v /internal/gateway$$)
+	$(TEST) $(if $(SKIP),-skip '$(SKIPPED)') $$(go list ./... | grep -vE '/(internal/gateway|platform)$$' ) ./transport/platform
+	$(TEST) -skip '$(SOAK)$(if $(SKIP),|$(SKIPPED))' ./platform
+	$(TEST) -run '$(SOAK)' $(if $(SKIP),-skip '$(SKIPPED)') ./platform
 	$(TEST) -skip '$(RETURNS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
 	$(TEST) -run '$(RETURNS)' $(if $(SKIP),-skip '$(SKIPPED)') ./internal/gateway
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,7 +111,7 @@
 	rollouts        *rollouts
 	// unused tracks the store's entries that cannot be used.
 	unused *unused
-	// restored tracks what this VM has written again in the current era.
+	// restored tracks what this VM writes again after the store has returned from a copy.
 	restored restored
 	// startup delays serving until peers had the time to send their state.
 	startup startup
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -23,13 +23,14 @@
 // not all VMs write at once.
 const maxRestoreDelay = time.Second
 
-// restored tracks this VM's own entry across eras. Only restoreLoop uses it.
+// restored tracks what this VM writes again. Only restoreLoop uses it.
 type restored struct {
-	// memberEra is the newest era in which the entry was seen or written, memberDue when
-	// to write it.
+	// memberEra is the newest era in which this VM's entry was seen or written, memberDue
+	// when to write it.
 	memberEra uint64
 	memberDue time.Time
-	writes    int
+	// trafficWrites numbers the writes of the traffic object.
+	trafficWrites int
 }
 
 // restoreLoop writes the fleet's own objects again that the store has lost. Each VM
@@ -109,8 +110,8 @@
 	if len(g.replica.Carried(kind)) == 0 {
 		return
 	}
-	g.restored.writes++
-	operation := "restore-" + g.cfg.VM + "-" + strconv.FormatUint(g.self.Start, 36) + "-" + strconv.Itoa(g.restored.writes)
+	g.restored.trafficWrites++
+	operation := "restore-" + g.cfg.VM + "-" + strconv.FormatUint(g.self.Start, 36) + "-" + strconv.Itoa(g.restored.trafficWrites)
 	_, err := traffic.Update(ctx, trafficStore{g}, func() string { return operation }, func(t spec.Traffic) (spec.Traffic, error) { return t, nil })
 	g.logRestored(kind, spec.SingletonName, err)
 }
