object: a replica passes the gap of a list on

A delta whose sender's history has a gap is marked; it applies only at its start, and the receiver's history has the gap too.

--- a/internal/gateway/deltacache.go
+++ b/internal/gateway/deltacache.go
@@ -64,7 +64,7 @@
 		}
 		c.entries[key] = compressed
 	}
-	return &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, SinceEra: d.Since.Era, Era: d.UpTo.Era, Packed: compressed}
+	return &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, SinceEra: d.Since.Era, Era: d.UpTo.Era, Gapped: d.Gapped, Packed: compressed}
 }
 
 // isLarge reports whether a delta exceeds the size up to which parts are sent to any
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -183,7 +183,7 @@
 }
 
 func toDelta(d object.Delta) *peerpb.Delta {
-	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, SinceEra: d.Since.Era, Era: d.UpTo.Era}
+	out := &peerpb.Delta{Kind: d.Kind, Full: d.Full, Listed: d.Listed, Since: d.Since.Revision, At: d.UpTo.Revision, SinceEra: d.Since.Era, Era: d.UpTo.Era, Gapped: d.Gapped}
 	for _, ref := range d.Listing {
 		out.Listing = append(out.Listing, &peerpb.ObjectRef{Name: ref.Name, Revision: ref.Revision})
 	}
@@ -195,7 +195,7 @@
 
 func fromDelta(d *peerpb.Delta) object.Delta {
 	out := object.Delta{
-		Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(),
+		Kind: d.GetKind(), Full: d.GetFull(), Listed: d.GetListed(), Gapped: d.GetGapped(),
 		Since: object.Version{Era: d.GetSinceEra(), Revision: d.GetSince()}, UpTo: object.Version{Era: d.GetEra(), Revision: d.GetAt()},
 	}
 	for _, ref := range d.GetListing() {
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -206,6 +206,7 @@
 off rollout-waits-for-all coordination/rollout/decider.go 'case proved < in.VMs:' 'case false:' ./coordination/rollout TestVMsThatAreNotReached
 off rollout-closes coordination/rollout/splitter.go 's.phase == rollout.PhaseProved && !s.step.Closed' 's.phase == rollout.PhaseProved' ./coordination/rollout TestOldWorkersServe
 off list-read-once internal/gateway/watch.go 'if !known || content == c.memberList {' 'if !known {' ./internal/gateway TestListOfVMsIsRead
+off gap-passed-on state/object/replica.go 'd.Events, d.Gapped = k.historyAfter(at.Revision), k.hasGapAfter(at.Revision)' 'd.Events = k.historyAfter(at.Revision)' ./state/object TestGapIsPassedOn
 off era-is-read platform/store.go 'if len(values) == 0 {' 'if len(values) >= 0 {' ./platform 'TestSoak$/seed_31020'
 off era-not-continued state/object/kind.go 'case k.initialized && d.UpTo.Era != k.version.Era:' 'case false:' ./state/object TestReplicasConvergeAcrossEras
 off era-confirmed state/object/replica.go '!k.initialized || version.Era != k.version.Era || k.version.Before(version)' '!k.initialized' ./state/object TestConfirmationNeeds
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -78,9 +78,12 @@
 		return false
 	case d.Listed:
 		return k.mergeListing(d)
-	case d.Since.Era != d.UpTo.Era:
+	case d.Since.Era != d.UpTo.Era, d.Gapped && d.Since != k.version:
 		return false
 	}
+	if d.Gapped {
+		k.recordGap(d.UpTo.Revision)
+	}
 	changed := false
 	for _, e := range d.Events {
 		if e.Deleted {
@@ -289,6 +292,11 @@
 	return k.inEra && k.historyOfEra && era == k.previousEra
 }
 
+// hasGapAfter reports whether the history has a gap that ends after a revision.
+func (k *kindReplica) hasGapAfter(revision uint64) bool {
+	return slices.ContainsFunc(k.gaps, func(g gap) bool { return g.to > revision })
+}
+
 // historyAfter returns the events that a peer at a revision may lack.
 func (k *kindReplica) historyAfter(revision uint64) []Event {
 	var events []Event
--- a/state/object/object.go
+++ b/state/object/object.go
@@ -61,6 +61,10 @@
 	// Events then holds the objects that changed after Since.
 	Listed  bool
 	Listing []Ref
+	// Gapped is set if objects may have been created and deleted after Since that Events
+	// does not name. The delta then applies only to a replica that is complete up to
+	// Since exactly, whose history has the same gap.
+	Gapped bool
 	// Events is complete for the versions after Since, up to and including
 	// UpTo.
 	Since, UpTo Version
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -232,7 +232,7 @@
 		d.Listed, d.Listing = true, k.listing()
 		d.Events = k.changedObjects(k.history)
 	case k.historyCovers(at.Revision):
-		d.Events = k.historyAfter(at.Revision)
+		d.Events, d.Gapped = k.historyAfter(at.Revision), k.hasGapAfter(at.Revision)
 	default:
 		d.Listed, d.Listing = true, k.listing()
 		d.Events = k.eventsAfter(at.Revision)
--- a/state/object/replica_test.go
+++ b/state/object/replica_test.go
@@ -309,3 +309,32 @@
 		t.Errorf("new state confirmed at %s, want the last confirmation", got.Sub(start))
 	}
 }
+
+// Guards against an object that was created and deleted between two lists and stays at a
+// peer, since a replica in between passed the list's changes on as complete.
+func TestGapIsPassedOn(t *testing.T) {
+	a, b := object.Object{Name: "a", Version: at(5)}, object.Object{Name: "b", Version: at(11)}
+	newReplica := func(revision uint64, objects ...object.Object) *object.Replica {
+		r := object.NewReplica(object.ReplicaConfig{})
+		r.Reset(kind, objects, at(revision))
+		return r
+	}
+	pull := func(to, from *object.Replica) {
+		held, known := to.CompleteUpTo(kind)
+		if d, ok := from.Since(kind, held, known); ok {
+			to.Merge(d)
+		}
+	}
+	behind, lister, between := newReplica(12, a, b), newReplica(10, a), newReplica(10, a)
+	lister.Reset(kind, []object.Object{a}, at(20)) // b was created at 11 and deleted since.
+	pull(between, lister)
+	pull(behind, between)
+	for name, r := range map[string]*object.Replica{"between": between, "behind": behind} {
+		if held, _ := r.CompleteUpTo(kind); held == at(20) && len(r.Objects(kind)) != 1 {
+			t.Errorf("%s is at %v and holds %v", name, held, r.Objects(kind))
+		}
+	}
+	if held, _ := behind.CompleteUpTo(kind); held != at(20) {
+		t.Errorf("behind is at %v", held)
+	}
+}
