--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -138,6 +138,19 @@
 	e.awaitVersion()
 }
 
+// checkNewRoute checks that the route to "other", which was just written, applies on all VMs
+// in time.
+func (e *eraFleet) checkNewRoute() {
+	e.t.Helper()
+	written := time.Now()
+	for _, v := range e.vms {
+		e.waitFor(v.name+" has the new route", func() bool { _, id := v.sendRequest("/"); return id == "o1" })
+		if took := time.Since(written); took > applyWithin+eraSlack {
+			e.t.Errorf("the change applied on %s after %s", v.name, took)
+		}
+	}
+}
+
 // returns are the ways in which the revisions of a returned store can relate to those
 // that the VMs hold when a change is written.
 var returns = map[string]func(e *eraFleet, c storeCopy, write func()){
@@ -167,13 +180,7 @@
 				e.configureAgain("s")
 				e.configure("other")
 			})
-			written := time.Now()
-			for _, v := range e.vms {
-				e.waitFor(v.name+" has the new route", func() bool { _, id := v.sendRequest("/"); return id == "o1" })
-				if took := time.Since(written); took > applyWithin+eraSlack {
-					t.Errorf("the change applied on %s after %s", v.name, took)
-				}
-			}
+			e.checkNewRoute()
 		})
 	}
 }
@@ -330,13 +337,7 @@
 	e.store.returnFrom(c)
 	e.configureAgain("s")
 	e.configure("other")
-	written := time.Now()
-	for _, v := range e.vms {
-		e.waitFor(v.name+" has the new route", func() bool { _, id := v.sendRequest("/"); return id == "o1" })
-		if took := time.Since(written); took > applyWithin+eraSlack {
-			t.Errorf("the change applied on %s after %s", v.name, took)
-		}
-	}
+	e.checkNewRoute()
 }
 
 // Guards against replicas that miss a return which follows another within a second.
@@ -351,11 +352,5 @@
 		e.store.dropHistory(func() { e.putWorker("w1", nil) })
 	}
 	e.configure("other")
-	written := time.Now()
-	for _, v := range e.vms {
-		e.waitFor(v.name+" has the new route", func() bool { _, id := v.sendRequest("/"); return id == "o1" })
-		if took := time.Since(written); took > applyWithin+eraSlack {
-			t.Errorf("the change applied on %s after %s", v.name, took)
-		}
-	}
+	e.checkNewRoute()
 }
