--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -107,7 +107,7 @@
 const maxCarriedBytes = 256 << 10
 
 // carriedFor returns the carried states that a requesting VM may lack: those of the kinds
-// of which it has another era, and all if it does not serve yet.
+// of which it has another era, and all if it waits for them to serve.
 func (g *Gateway) carriedFor(request *peerpb.Sync) []*peerpb.CarriedState {
 	var states []*peerpb.CarriedState
 	size := 0
@@ -128,17 +128,6 @@
 	return states
 }
 
-// awaitsCarriedOnly reports whether a requesting VM has all state that it needs to serve and
-// waits only for what peers know beyond the store.
-func (g *Gateway) awaitsCarriedOnly(request *peerpb.Sync) bool {
-	for _, kind := range g.watchedKinds() {
-		if _, known := request.GetSince()[kind]; !known {
-			return false
-		}
-	}
-	return request.GetStarting()
-}
-
 // applyCarried takes over a peer's carried states.
 func (g *Gateway) applyCarried(states []*peerpb.CarriedState) {
 	byKind := make(map[string][]object.Carried)
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -244,6 +244,14 @@
 	s.heard = s.heard || serving
 }
 
+// awaitsPeers reports whether this VM has all state that it needs and waits only for what
+// a serving peer knows beyond the store.
+func (s *startup) awaitsPeers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.complete.IsZero() && !s.alone && !s.heard && clock.Since(s.complete) < peerStateWait
+}
+
 // over reports whether this VM may serve with the state that it has. In era 0 the store has
 // never returned from a copy.
 func (s *startup) over(now time.Time, era uint64) bool {
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -78,7 +78,7 @@
 func (g *Gateway) syncMessage(request syncRequest) *peerpb.Sync {
 	since, eras := g.replicaVersions()
 	message := &peerpb.Sync{
-		Since: since, Eras: eras, KnowsEras: true, Starting: g.snapshot.Load() == nil, HoldMillis: uint32(request.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(request.depth),
+		Since: since, Eras: eras, KnowsEras: true, Starting: g.startup.awaitsPeers(), HoldMillis: uint32(request.hold.Milliseconds()), TakesListed: true, TakesPacked: true, Depth: uint32(request.depth),
 		Signals: g.outgoingSignals(),
 	}
 	if request.hold > 0 {
@@ -160,7 +160,7 @@
 		// the reported state seem older than it is, never newer.
 		held := clock.Since(received)
 		reply, onSent := g.syncReply(request)
-		if hasChanges(reply) || held >= hold || reply.GetServing() && g.awaitsCarriedOnly(request) {
+		if hasChanges(reply) || held >= hold || reply.GetServing() && request.GetStarting() {
 			g.knowledge.recordCopies(reply.GetDeltas())
 			reply.HeldMillis = uint32(held.Milliseconds())
 			onTableSent := g.addRegionState(reply, request)
