--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -77,7 +77,7 @@
 		return object.Version{Era: era, Revision: revision}, true
 	}
 	own, _ := g.replica.CompleteUpTo(kind)
-	return object.Version{Era: own.Era, Revision: revision}, !g.replica.InEra(kind)
+	return object.Version{Era: own.Era, Revision: revision}, !g.replica.PassedEra(kind)
 }
 
 // assumeEra sets the eras of a delta from a peer that knows of none, as peerVersion does.
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -67,7 +67,7 @@
 func (g *Gateway) restoreMember(ctx context.Context) {
 	kind, r := g.cfg.Codec.MemberKind(), &g.restored
 	at, known := g.replica.CompleteUpTo(kind)
-	if !known || !g.replica.InEra(kind) || at.Era <= r.memberEra {
+	if !known || !g.replica.PassedEra(kind) || at.Era <= r.memberEra {
 		return
 	}
 	name := g.cfg.Codec.MemberName(g.vm())
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -40,10 +40,11 @@
 	history []change
 	oldest  uint64
 	gaps    []gap
-	// previousEra is the era before the current one, if inEra is set. historyOfEra is
-	// set while the history names all objects that have changed since then.
-	previousEra         uint64
-	inEra, historyOfEra bool
+	// passedEra is set once the kind has passed from one era to another, previousEra is
+	// then the era before the current one. historyOfEra is set while the history names all
+	// objects that have changed since then.
+	previousEra             uint64
+	passedEra, historyOfEra bool
 	// carried holds the states of earlier eras that are in use, by name.
 	carried map[string]carriedState
 	// generation counts the changes of the objects in use.
@@ -129,7 +130,7 @@
 		}
 	}
 	before, deleted, previous := k.inUse(), k.deletions(), k.objects
-	k.previousEra, k.inEra, k.historyOfEra = k.version.Era, true, true
+	k.previousEra, k.passedEra, k.historyOfEra = k.version.Era, true, true
 	k.objects, k.names = make(map[string]Object, len(events)), nil
 	k.history, k.oldest, k.gaps = nil, d.UpTo.Revision, nil
 	for _, e := range events {
@@ -289,7 +290,7 @@
 // namesChangesSince reports whether the history names all objects that differ from an
 // earlier era.
 func (k *kindReplica) namesChangesSince(era uint64) bool {
-	return k.inEra && k.historyOfEra && era == k.previousEra
+	return k.passedEra && k.historyOfEra && era == k.previousEra
 }
 
 // hasGapAfter reports whether the history has a gap that ends after a revision.
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -205,12 +205,12 @@
 	return k.generation
 }
 
-// InEra reports whether a kind has passed from one era to another in this replica.
-func (r *Replica) InEra(name string) bool {
+// PassedEra reports whether a kind has passed from one era to another in this replica.
+func (r *Replica) PassedEra(name string) bool {
 	k := r.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.inEra
+	return k.passedEra
 }
 
 // Since returns the smallest delta for a peer that is complete up to a version, or
