--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -78,6 +79,10 @@
 	// oldest first.
 	queue []*response
 	phase phase
+	// deadline is the read deadline.
+	deadline time.Time
+	// restsSince is when queue last became empty.
+	restsSince time.Time
 	// ended is set once no further request may begin.
 	ended bool
 	// broken is set once nothing more can be sent.
@@ -89,7 +94,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, in: &lookahead{source: nc, limit: s.cfg.ReadAhead}, interrupted: make(chan struct{}, 1)}
+	c := &conn{server: s, nc: nc, in: &lookahead{source: nc, limit: s.cfg.ReadAhead}, interrupted: make(chan struct{}, 1), restsSince: time.Now()}
 	c.br = bufio.NewReader(c.in)
 	c.bw = bufio.NewWriter(stallWriter{c})
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -116,13 +121,10 @@
 
 // nextRequest reads the header of the next request.
 func (c *conn) nextRequest() (*http.Request, error) {
-	if !c.enter(phaseIdle) {
-		return nil, errEnded
-	}
-	if _, err := c.br.Peek(1); err != nil {
+	if err := c.awaitFirstByte(); err != nil {
 		return nil, err
 	}
-	if !c.enter(phaseHeader) {
+	if !c.headIsBuffered() && !c.enter(phaseHeader) {
 		return nil, errEnded
 	}
 	head, err := readHead(c.br, c.headBuf[:0], c.server.cfg.MaxHeaderBytes)
@@ -135,6 +137,25 @@
 	return parseHead(head)
 }
 
+// awaitFirstByte waits for the first byte of the next request.
+func (c *conn) awaitFirstByte() error {
+	for {
+		if !c.enter(phaseIdle) {
+			return errEnded
+		}
+		_, err := c.br.Peek(1)
+		if err == nil || !isTimeout(err) || c.idleTooLong() {
+			return err
+		}
+	}
+}
+
+// headIsBuffered reports whether the whole header has arrived with its first byte.
+func (c *conn) headIsBuffered() bool {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	return err == nil && bytes.Contains(buffered, []byte("\r\n\r\n"))
+}
+
 // enter begins a phase of reading, with its deadline, and reports whether the connection may
 // still be read.
 func (c *conn) enter(p phase) bool {
@@ -148,19 +169,42 @@
 	return true
 }
 
-// setReadDeadline sets the deadline of the current phase. mu is held.
+// setReadDeadline sets the deadline of the current phase. While a client waits for each
+// response, the deadline is set once per idle timeout: one that is reached too early only
+// leads to another look at idleTooLong. mu is held.
 func (c *conn) setReadDeadline() {
-	var deadline time.Time
 	switch c.phase {
 	case phaseIdle:
-		if len(c.queue) == 0 {
-			deadline = time.Now().Add(c.server.cfg.IdleTimeout)
+		if c.deadline.IsZero() || c.deadline.Equal(pastDeadline) {
+			c.setDeadline(c.restsSince.Add(c.server.cfg.IdleTimeout))
 		}
 	case phaseHeader:
-		deadline = time.Now().Add(c.server.cfg.HeaderTimeout)
-	case phaseBody, phaseTurn:
+		c.setDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
+	case phaseBody:
+		c.setDeadline(time.Time{})
+	case phaseTurn:
+		if c.deadline.Equal(pastDeadline) {
+			c.setDeadline(time.Time{})
+		}
 	}
-	_ = c.nc.SetReadDeadline(deadline) // Fails only for a closed connection, as the read does.
+}
+
+// setDeadline sets the read deadline, where the zero time means none. mu is held.
+func (c *conn) setDeadline(t time.Time) {
+	c.deadline = t
+	_ = c.nc.SetReadDeadline(t) // Fails only for a closed connection, as the read does.
+}
+
+// idleTooLong reports, after a read deadline in phaseIdle, whether the connection has been
+// without requests for the idle timeout.
+func (c *conn) idleTooLong() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = pastDeadline
+	if len(c.queue) > 0 {
+		c.restsSince = time.Now()
+	}
+	return time.Since(c.restsSince) >= c.server.cfg.IdleTimeout
 }
 
 // begin runs a request once its turn to begin has come. It returns false if the connection
@@ -177,11 +221,11 @@
 		return false
 	}
 	if r.body == nil {
-		go c.run(r)
+		c.server.workers.run(r)
 		return true
 	}
 	req.Body = r.body
-	go c.run(r)
+	c.server.workers.run(r)
 	<-r.body.released
 	return true
 }
@@ -211,8 +255,9 @@
 		return false, true
 	case c.mayBegin(r):
 		c.push(r)
-		c.phase = phaseBody
-		c.setReadDeadline()
+		if c.phase = phaseBody; r.body != nil {
+			c.setReadDeadline()
+		}
 		return true, false
 	}
 	c.phase = phaseTurn
@@ -302,7 +347,7 @@
 	c.push(r)
 	c.ended, c.lingers = true, true
 	c.mu.Unlock()
-	go c.run(r)
+	c.server.workers.run(r)
 }
 
 // run runs a request and sends its response when its turn has come.
@@ -379,12 +424,11 @@
 	}
 	c.releaseHeld(r)
 	c.popped.Broadcast()
-	switch {
-	case c.ended:
-	case c.phase == phaseTurn:
+	if len(c.queue) == 0 {
+		c.restsSince = time.Now()
+	}
+	if c.phase == phaseTurn && !c.ended {
 		c.interruptRead()
-	case c.phase == phaseIdle:
-		c.setReadDeadline()
 	}
 }
 
@@ -447,7 +491,7 @@
 // interruptRead ends a pending read, or the wait that replaces it while no more may be read
 // ahead. mu is held.
 func (c *conn) interruptRead() {
-	_ = c.nc.SetReadDeadline(pastDeadline) // Fails only for a closed connection.
+	c.setDeadline(pastDeadline)
 	select {
 	case c.interrupted <- struct{}{}:
 	default:
--- a/transport/pipeline/head.go
+++ b/transport/pipeline/head.go
@@ -89,9 +89,11 @@
 // checkFields rejects what the standard library's parser accepts but servers interpret
 // differently, and what only its server rejects.
 func checkFields(head []byte) error {
-	lines := bytes.Split(bytes.TrimSuffix(head, []byte("\r\n\r\n")), []byte("\r\n"))
+	requestLine, fields, _ := bytes.Cut(bytes.TrimSuffix(head, []byte("\r\n")), []byte("\r\n"))
 	hosts, lengths, encodings := 0, 0, 0
-	for _, line := range lines[1:] {
+	for len(fields) > 0 {
+		var line []byte
+		line, fields, _ = bytes.Cut(fields, []byte("\r\n"))
 		name, value, found := bytes.Cut(line, []byte(":"))
 		if !found || !isToken(name) {
 			return malformed("a header field has no valid name")
@@ -109,7 +111,7 @@
 		}
 	}
 	switch {
-	case bytes.ContainsFunc(lines[0], isControl):
+	case bytes.ContainsFunc(requestLine, isControl):
 		return malformed("the request line has a control character")
 	case hosts > 1:
 		return malformed("there is more than one host")
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -108,6 +108,7 @@
 	cfg Config
 	// behind and held are what the connections share.
 	behind, held *sharedLimit
+	workers      *workers
 
 	mu        sync.Mutex
 	stopping  bool
@@ -134,7 +135,7 @@
 	}
 	cfg.setDefaults()
 	s := &Server{
-		cfg: cfg, behind: newSharedLimit(cfg.MaxBehind), held: newSharedLimit(cfg.MaxHeldTotal),
+		cfg: cfg, behind: newSharedLimit(cfg.MaxBehind), held: newSharedLimit(cfg.MaxHeldTotal), workers: newWorkers(),
 		listeners: make(map[net.Listener]struct{}), conns: make(map[*conn]struct{}),
 	}
 	s.ended.L = &s.mu
@@ -256,7 +257,10 @@
 func (s *Server) stop() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	if !s.stopping {
+		s.stopping = true
+		close(s.workers.stopped)
+	}
 	for l := range s.listeners {
 		if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			s.cfg.Log.Info("pipeline: listener not closed", "error", err.Error())
