ingress: an attempt is not canceled for a retry that has too little time

Callers of a route with a timeout of 2 s and first runs of 1.3 s got 504 after 2 s for every key that was new to its worker: the attempt was canceled after 1.1 s, the retry went to a worker that was new to the key as well, and had 0.9 s. Since workers drop what is canceled, the key never became warm.

--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -7,7 +7,6 @@
 	"context"
 	"net/http"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,13 +16,6 @@
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
-// silenceFraction is the fraction of the remaining time after which a repeatable
-// request is sent to another worker, if the first one has not responded.
-const silenceFraction = 0.55
-
-// errWorkerSilent cancels an attempt whose worker has not responded in time.
-var errWorkerSilent = errors.New("ingress: the worker has not answered for long")
-
 // failure describes an attempt without a response.
 type failure struct {
 	cause  retry.Cause
@@ -162,47 +154,6 @@
 	return nil, nil
 }
 
-// startSilenceTimer cancels an attempt of a repeatable request if its worker has not
-// responded for long, a retry is allowed and another worker has capacity. A VM that is
-// stopping waits on, so that work in progress is not canceled. The returned function
-// stops the timer and returns the worker for the next attempt if this one was canceled.
-func (q *request) startSilenceTimer(ctx context.Context, cancel context.CancelCauseFunc, attemptNumber int) func() *placement.Choice {
-	if !q.route.Repeatable || attemptNumber >= q.route.MaxAttempts || q.body.remainder != nil {
-		return func() *placement.Choice { return nil }
-	}
-	var next *placement.Choice
-	done := make(chan struct{})
-	timer := time.AfterFunc(time.Duration(float64(q.remaining())*silenceFraction), func() {
-		defer close(done)
-		if next = q.nextWorker(ctx, attemptNumber); next != nil {
-			cancel(errWorkerSilent)
-		}
-	})
-	return func() *placement.Choice {
-		if !timer.Stop() {
-			<-done
-		}
-		return next
-	}
-}
-
-// nextWorker chooses a worker for another attempt, or returns nil if none is allowed.
-func (q *request) nextWorker(ctx context.Context, attemptNumber int) *placement.Choice {
-	if q.handler.stopping.Load() {
-		return nil
-	}
-	choice, refusal := q.place(q.handler.cfg.Snapshot(), true)
-	if refusal != placement.RefusalNone {
-		return nil
-	}
-	if !q.decideRetry(ctx, &failure{cause: retry.CauseBroken}, attemptNumber).Allowed() {
-		q.withdrawChoice()
-		choice.Load().End()
-		return nil
-	}
-	return &choice
-}
-
 func (q *request) target(s *placement.Snapshot, c placement.Choice) upstream.Worker {
 	w := c.Worker()
 	service, _ := s.Routes.Service(w.Service)
