pipeline: responses before an aborted one are sent

Callers saw the connection end without a response that was complete, if the handler of a later request had aborted before. Each response leaves the flush to the next one if that is ready, and an aborted one counted as ready but closes the connection. Now only one that was not aborted counts, and the buffer is flushed before a connection is broken off for a response that turns out incomplete.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -377,12 +377,15 @@
 func (c *conn) run(r *response) {
 	completed := r.serve()
 	r.cancel()
-	heldSince := c.markReady(r)
+	heldSince := c.markReturned(r, completed)
 	if !completed {
 		c.cancelBehind(r)
 	}
 	<-r.turn
 	sent := completed && r.finish() == nil
+	if !sent && !c.isBroken() {
+		_ = c.bw.Flush() // Responses before this one may still be buffered. The connection ends anyway.
+	}
 	if !completed {
 		c.server.cfg.Metrics.ConnectionEnded(reasonAborted)
 	}
@@ -400,12 +403,12 @@
 	c.pop(r)
 }
 
-// markReady marks a response as complete. It returns the time if the turn of the response
-// has not come yet, else the zero time.
-func (c *conn) markReady(r *response) time.Time {
+// markReturned marks a response whose handler has returned. It returns the time if the turn
+// of the response has not come yet, else the zero time.
+func (c *conn) markReturned(r *response, completed bool) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.ready = true
+	r.ready = completed
 	if c.queue[0] == r {
 		return time.Time{}
 	}
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -53,7 +53,7 @@
 	rejection *statusError
 	// turn is closed when all responses before this one have been sent.
 	turn chan struct{}
-	// ready is set once the handler has returned. It is guarded by conn.mu.
+	// ready is set once the handler has returned without aborting. It is guarded by conn.mu.
 	ready bool
 	// countsBehind is set if the request has a unit of the limit of requests behind others.
 	// It is guarded by conn.mu.
--- a/transport/pipeline/server_test.go
+++ b/transport/pipeline/server_test.go
@@ -153,7 +153,7 @@
 	c.t.Helper()
 	res, got := c.receive()
 	if res.StatusCode != status || got != body && body != "*" {
-		c.t.Fatalf("status %d with %q, want %d with %q", res.StatusCode, got, status, body)
+		c.t.Fatalf("status %d with %.200q, want %d with %.200q", res.StatusCode, got, status, body)
 	}
 	return res
 }
