pipeline: a response whose write failed is not taken for complete

A write that waits for its turn fails once the client has left. Its bytes were counted as written, so a handler that only returned got its header sent without them, and the next response came where the client still expected the body of this one. Only a client that had closed its sending half could see it. A response with dropped bytes now ends the connection.

TestNothingFollowsIncompleteResponse: the response behind followed the header of 1,000 bytes before, nothing follows now.

--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -4,8 +4,15 @@
 package pipeline_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/ryehill/ryehill/transport/pipeline"
 )
 
 func TestResponsesBeforeAbortedOneAreSent(t *testing.T) {
@@ -15,3 +22,32 @@
 	c.want(http.StatusOK, "/1")
 	c.wantEnd()
 }
+
+// A write that fails since the client has left must not be counted as sent: the next
+// response would be taken for the missing bytes.
+func TestNothingFollowsIncompleteResponse(t *testing.T) {
+	s := newTestServer(t, func(c *pipeline.Config) {
+		c.MaxHeld = 100
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body := r.URL.Path
+			switch r.URL.Path {
+			case "/1":
+				time.Sleep(300 * time.Millisecond)
+			case "/2":
+				body = strings.Repeat("x", 1000)
+			}
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+			_, _ = io.WriteString(w, body)
+		})
+	})
+	c := s.dial(t)
+	c.send(get("/1"), get("/2"), get("/3"))
+	time.Sleep(100 * time.Millisecond)
+	if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	c.want(http.StatusOK, "/1")
+	if rest, _ := io.ReadAll(c.br); strings.Contains(string(rest), "/3") {
+		t.Errorf("behind an incomplete response: %q", rest)
+	}
+}
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -66,6 +66,8 @@
 	// length is the length of the body in bytes, or -1 if the handler has not set it.
 	length  int64
 	written int64
+	// incomplete is set if bytes of the body were dropped.
+	incomplete bool
 	// unsent holds the start of the body until the header is sent.
 	unsent  []byte
 	chunked bool
@@ -142,6 +144,7 @@
 		select {
 		case <-r.turn:
 		case <-r.ctx.Done():
+			r.incomplete = true
 			return 0, errNotSent
 		}
 	}
@@ -179,7 +182,7 @@
 
 // finish sends what is left of a response whose turn has come.
 func (r *response) finish() error {
-	if r.conn.isBroken() {
+	if r.incomplete || r.conn.isBroken() {
 		return errNotSent
 	}
 	if r.status == 0 {
