pipeline: nothing follows a response that only the end of the connection ends

A response to HTTP/1.0 without a length lasts until the connection ends. With a kept connection, the response to a request that ran beside it, or the 400 to a malformed one, was sent behind it and taken for its body. Requests of HTTP/1.0 now run alone, and a malformed one behind them ends the connection without a response.

TestNothingFollowsResponseThatEndsWithConnection: three cases red before, green now.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -239,7 +239,8 @@
 		c.reject(req, &statusError{status: http.StatusExpectationFailed, reason: "the expectation is unknown"})
 		return false
 	}
-	r.concurrent = r.body == nil && !req.Close && c.server.cfg.MaxDepth > 1 && c.server.cfg.Concurrent(req)
+	// A response to HTTP/1.0 may have no length, so that only the end of the connection ends it.
+	r.concurrent = r.body == nil && !req.Close && req.ProtoAtLeast(1, 1) && c.server.cfg.MaxDepth > 1 && c.server.cfg.Concurrent(req)
 	if !c.awaitTurn(r) {
 		return false
 	}
@@ -367,6 +368,11 @@
 		c.mu.Unlock()
 		return
 	}
+	if n := len(c.queue); n > 0 && !c.queue[n-1].req.ProtoAtLeast(1, 1) {
+		c.end() // Its response may have no length, so that nothing can follow it.
+		c.mu.Unlock()
+		return
+	}
 	c.push(r)
 	c.ended, c.lingers = true, true
 	c.mu.Unlock()
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -51,3 +51,17 @@
 		t.Errorf("behind an incomplete response: %q", rest)
 	}
 }
+
+// A response without a length ends with the connection, so nothing may follow it.
+func TestNothingFollowsResponseThatEndsWithConnection(t *testing.T) {
+	old := "GET %s HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+	for name, behind := range map[string]string{"request": fmt.Sprintf(old, "/2"), "malformed": "nonsense\r\n\r\n", "newer": get("/2")} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, nil)
+			c := s.dial(t)
+			c.send(fmt.Sprintf(old, "/1?work=50ms&large=xxx"), behind)
+			c.want(http.StatusOK, "/1"+strings.Repeat("x", 3000))
+			c.wantEnd()
+		})
+	}
+}
