pipeline: a waiting connection does not spin on an old read deadline

The deadline of the idle or the header phase stayed in force while a request waited for its turn or for the end of the last ones. Once it had passed, each read returned at once and the loop took a whole core until the turn came: a connection older than the idle timeout, or with a header in two parts, behind a slow request. These phases now clear any deadline.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -203,10 +203,9 @@
 		}
 	case phaseHeader:
 		c.setDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
-	case phaseBody:
-		c.setDeadline(time.Time{})
-	case phaseTurn, phaseWatch:
-		if c.deadline.Equal(pastDeadline) {
+	case phaseBody, phaseTurn, phaseWatch:
+		// The deadline of an earlier phase would end each read once it has passed.
+		if !c.deadline.IsZero() {
 			c.setDeadline(time.Time{})
 		}
 	}
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,3 +66,55 @@
 		})
 	}
 }
+
+// countingListener counts the reads of its connections.
+type countingListener struct {
+	net.Listener
+	reads atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	return countingConn{nc, &l.reads}, err
+}
+
+type countingConn struct {
+	net.Conn
+	reads *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	c.reads.Add(1)
+	return c.Conn.Read(p)
+}
+
+// A read deadline of an earlier phase must not end each read while a request waits.
+func TestWaitingConnectionDoesNotSpin(t *testing.T) {
+	for name, sent := range map[string][]string{
+		"for its turn":               {get("/1?work=600ms"), post("/2", "body")},
+		"for its turn, header split": {get("/1?work=600ms"), "POST /2 HTTP/1.1\r\n", "Host: h\r\nContent-Length: 0\r\n\r\n"},
+		"for the end":                {"GET /1?work=600ms HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, func(c *pipeline.Config) {
+				c.IdleTimeout, c.HeaderTimeout = 100*time.Millisecond, 100*time.Millisecond
+			})
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &countingListener{Listener: inner}
+			go func() { _ = s.Serve(l) }()
+			s.address = inner.Addr().String()
+			c := s.dial(t)
+			for _, part := range sent {
+				c.send(part)
+				time.Sleep(20 * time.Millisecond)
+			}
+			c.want(http.StatusOK, "/1")
+			if n := l.reads.Load(); n > 50 {
+				t.Errorf("%d reads while a request waited", n)
+			}
+		})
+	}
+}
