pipeline: the rest of an unread body is awaited for a bounded time

After a response to a request whose body the handler had not read, the server discarded what was left without a deadline. A client that sent no more kept its goroutines, and a stop of the server waited for it until its own timeout; so did a read that the handler had left to another goroutine. The rest now has 500 ms.

TestShutdownDoesNotWaitForUnsentBody: context deadline exceeded after 3 s before, ends now.

--- a/transport/pipeline/body.go
+++ b/transport/pipeline/body.go
@@ -110,6 +110,16 @@
 	return b.begun
 }
 
+// isReleased reports whether the connection may be read beyond the body.
+func (b *body) isReleased() bool {
+	select {
+	case <-b.released:
+		return true
+	default:
+		return false
+	}
+}
+
 // finish ends the body after its request, and reports whether the next request can be read
 // from the connection. If discard is set, the rest of the body is read first, up to a bound.
 func (b *body) finish(discard bool) bool {
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -24,6 +24,8 @@
 	// lingerTimeout is how long a connection is still read after its last response. If it
 	// were closed with unread bytes, the client's system could drop the response.
 	lingerTimeout = 500 * time.Millisecond
+	// discardTimeout is the time for the rest of a body that the handler has not read.
+	discardTimeout = 500 * time.Millisecond
 	// maxLingerBytes bounds the bytes that are read for that.
 	maxLingerBytes = 256 << 10
 	// maxKeptHeadBuffer is the largest buffer for headers that an idle connection keeps.
@@ -397,8 +399,11 @@
 	if !sent {
 		c.breakOff()
 	}
-	if r.body != nil && !r.body.finish(sent && !r.awaitsContinue()) {
-		c.stopReading()
+	if r.body != nil {
+		c.limitDiscard(r.body)
+		if !r.body.finish(sent && !r.awaitsContinue()) {
+			c.stopReading()
+		}
 	}
 	if !heldSince.IsZero() {
 		held := time.Since(heldSince)
@@ -420,6 +425,16 @@
 	return time.Now()
 }
 
+// limitDiscard bounds the time for what is left of a body, which also ends a read of it that
+// the handler has left pending.
+func (c *conn) limitDiscard(b *body) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseBody && !b.isReleased() {
+		c.setDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // nextIsReady reports whether the response behind the first one is complete, so that both
 // can be sent together.
 func (c *conn) nextIsReady() bool {
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -4,6 +4,7 @@
 package pipeline_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -118,3 +119,15 @@
 		})
 	}
 }
+
+func TestShutdownDoesNotWaitForUnsentBody(t *testing.T) {
+	s := newTestServer(t, nil)
+	c := s.dial(t)
+	c.send("POST /1?unread HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	c.want(http.StatusOK, "/1")
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+}
