--- a/transport/pipeline/body.go
+++ b/transport/pipeline/body.go
@@ -103,13 +103,6 @@
 // Close implements io.Closer. The request ends; what is left of the body is for finish.
 func (b *body) Close() error { return nil }
 
-// begins reports whether any byte of the body was asked for.
-func (b *body) wasRead() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.begun
-}
-
 // isReleased reports whether the connection may be read beyond the body.
 func (b *body) isReleased() bool {
 	select {
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -72,9 +72,10 @@
 	unsent  []byte
 	chunked bool
 
-	// continueMu guards headSent, since another goroutine of the handler may read the body.
-	continueMu sync.Mutex
-	headSent   bool
+	// continueMu guards what follows, since another goroutine of the handler may read the body.
+	continueMu   sync.Mutex
+	headSent     bool
+	continueSent bool
 }
 
 func newResponse(c *conn, req *http.Request) *response {
@@ -303,6 +304,7 @@
 	if !r.expectsContinue() || r.headSent {
 		return
 	}
+	r.continueSent = true
 	_, _ = io.WriteString(r.conn.bw, "HTTP/1.1 100 Continue\r\n\r\n") // An error shows when the body is read.
 	_ = r.conn.bw.Flush()                                             // Likewise.
 }
@@ -313,7 +315,11 @@
 
 // awaitsContinue reports whether the client still waits to be asked for the body. It may
 // send it or not, so the connection can't be used for another request.
-func (r *response) awaitsContinue() bool { return r.expectsContinue() && !r.body.wasRead() }
+func (r *response) awaitsContinue() bool {
+	r.continueMu.Lock()
+	defer r.continueMu.Unlock()
+	return r.expectsContinue() && !r.continueSent
+}
 
 // hasToken reports whether a list header contains a token.
 func hasToken(values []string, token string) bool {
