pipeline: nothing is read behind a body that could not be read to its end

The connection was released for the next request before it was marked as ended, so the bytes within or behind a malformed or unread body could be parsed as a request and run (request smuggling). It is marked first now.

--- a/transport/pipeline/body.go
+++ b/transport/pipeline/body.go
@@ -125,9 +125,8 @@
 			rest -= n
 		}
 	}
-	if errors.Is(b.err, io.EOF) {
-		return true
-	}
-	close(b.released)
-	return false
+	return errors.Is(b.err, io.EOF)
 }
+
+// release releases the connection after finish has returned false.
+func (b *body) release() { close(b.released) }
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -402,7 +402,8 @@
 	if r.body != nil {
 		c.limitDiscard(r.body)
 		if !r.body.finish(sent && !r.awaitsContinue()) {
-			c.stopReading()
+			c.stopReading() // Before the release: what follows is no request.
+			r.body.release()
 		}
 	}
 	if !heldSince.IsZero() {
