pipeline: the end of a connection is counted once

For a client that left with two requests under way, two ends by the client and two aborted responses were counted. Requests that were canceled because the connection has ended count as nothing of their own now.

TestEndOfConnectionIsCountedOnce: 2 and 2 before, 1 and 0 now.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -393,7 +393,7 @@
 	if !sent && !c.isBroken() {
 		_ = c.bw.Flush() // Responses before this one may still be buffered. The connection ends anyway.
 	}
-	if !completed {
+	if !completed && c.ctx.Err() == nil {
 		c.server.cfg.Metrics.ConnectionEnded(reasonAborted)
 	}
 	if !sent {
@@ -551,7 +551,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.end()
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 && c.ctx.Err() == nil {
 		c.server.cfg.Metrics.ConnectionEnded(reasonClientLeft)
 	}
 	c.cancel()
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -131,3 +131,35 @@
 		t.Error(err)
 	}
 }
+
+// recordedEnds counts the reasons for which connections ended.
+type recordedEnds struct {
+	pipeline.Metrics
+	aborted, left atomic.Int64
+}
+
+func (*recordedEnds) PipelinedRequest(int)       {}
+func (*recordedEnds) ResponseHeld(time.Duration) {}
+func (*recordedEnds) HeldBytes(int)              {}
+func (m *recordedEnds) ConnectionEnded(reason string) {
+	switch reason {
+	case "aborted":
+		m.aborted.Add(1)
+	case "client-left":
+		m.left.Add(1)
+	}
+}
+
+func TestEndOfConnectionIsCountedOnce(t *testing.T) {
+	m := &recordedEnds{}
+	s := newTestServer(t, func(c *pipeline.Config) { c.Metrics = m })
+	c := s.dial(t)
+	c.send(get("/1?work=5s"), get("/2?work=5s"), post("/never", "body"))
+	waitUntil(t, "two began", func() bool { return len(s.begun()) == 2 })
+	_ = c.Close()
+	waitUntil(t, "both canceled", func() bool { return s.ended.Load() == 2 })
+	_ = s.Shutdown(context.Background())
+	if left, aborted := m.left.Load(), m.aborted.Load(); left != 1 || aborted != 0 {
+		t.Errorf("%d counted for a client that left, %d as aborted", left, aborted)
+	}
+}
