pipeline: OnSent is not called for a response that was not sent

Behind an aborted response it was called, so the ingress counted requests as late behind others whose client had nothing to receive.

TestOnSentIsNotCalledForLostResponse: 1 call before, none now.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -409,7 +409,9 @@
 	if !heldSince.IsZero() {
 		held := time.Since(heldSince)
 		c.server.cfg.Metrics.ResponseHeld(held)
-		r.onSent(held)
+		if sent {
+			r.onSent(held)
+		}
 	}
 	c.pop(r)
 }
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -163,3 +163,24 @@
 		t.Errorf("%d counted for a client that left, %d as aborted", left, aborted)
 	}
 }
+
+func TestOnSentIsNotCalledForLostResponse(t *testing.T) {
+	var calls, ended atomic.Int64
+	s := newTestServer(t, func(c *pipeline.Config) {
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer ended.Add(1)
+			pipeline.OnSent(r.Context(), func(time.Duration) { calls.Add(1) })
+			if r.URL.Path == "/1" {
+				time.Sleep(50 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+		})
+	})
+	c := s.dial(t)
+	c.send(get("/1"), get("/2"))
+	c.wantEnd()
+	_ = s.Shutdown(context.Background())
+	if n := calls.Load(); ended.Load() != 2 || n != 0 {
+		t.Errorf("%d requests, %d recorded as sent", ended.Load(), n)
+	}
+}
