pipeline: a chunked body in HTTP/1.0 and a missing Host field are rejected

The parser ignores Transfer-Encoding in HTTP/1.0, so the chunks were read as requests (RFC 9112, section 6.1: faulty framing). An absolute target replaced the Host field, which net/http's server required. Both are answered by 400.

--- a/transport/pipeline/head.go
+++ b/transport/pipeline/head.go
@@ -62,7 +62,8 @@
 
 // parseHead parses what readHead has read. The request has no body yet.
 func parseHead(head []byte) (*http.Request, error) {
-	if err := checkFields(head); err != nil {
+	hosts, err := checkFields(head)
+	if err != nil {
 		return nil, err
 	}
 	br := headReaders.Get().(*bufio.Reader)
@@ -77,7 +78,7 @@
 	if req.ProtoMajor != 1 {
 		return nil, &statusError{status: http.StatusHTTPVersionNotSupported, reason: "the version is not supported"}
 	}
-	if req.ProtoAtLeast(1, 1) && req.Host == "" && req.Method != http.MethodConnect {
+	if req.ProtoAtLeast(1, 1) && (hosts == 0 || req.Host == "") && req.Method != http.MethodConnect {
 		return nil, malformed("there is no host")
 	}
 	if strings.ContainsAny(req.Host, " \t/\\@?#\"<>") {
@@ -86,20 +87,20 @@
 	return req, nil
 }
 
-// checkFields rejects what the standard library's parser accepts but servers interpret
+// checkFields returns the number of hosts. It rejects what the standard library's parser accepts but servers interpret
 // differently, and what only its server rejects.
-func checkFields(head []byte) error {
+func checkFields(head []byte) (hosts int, err error) {
 	requestLine, fields, _ := bytes.Cut(bytes.TrimSuffix(head, []byte("\r\n")), []byte("\r\n"))
-	hosts, lengths, encodings := 0, 0, 0
+	lengths, encodings := 0, 0
 	for len(fields) > 0 {
 		var line []byte
 		line, fields, _ = bytes.Cut(fields, []byte("\r\n"))
 		name, value, found := bytes.Cut(line, []byte(":"))
 		if !found || !isToken(name) {
-			return malformed("a header field has no valid name")
+			return 0, malformed("a header field has no valid name")
 		}
 		if bytes.ContainsFunc(value, isControl) {
-			return malformed("a header field has a control character")
+			return 0, malformed("a header field has a control character")
 		}
 		switch {
 		case bytes.EqualFold(name, []byte("Host")):
@@ -112,13 +113,16 @@
 	}
 	switch {
 	case bytes.ContainsFunc(requestLine, isControl):
-		return malformed("the request line has a control character")
+		return 0, malformed("the request line has a control character")
 	case hosts > 1:
-		return malformed("there is more than one host")
+		return 0, malformed("there is more than one host")
+	case encodings > 0 && bytes.HasSuffix(requestLine, []byte(" HTTP/1.0")):
+		// The parser ignores the field, while others in front may not.
+		return 0, malformed("HTTP/1.0 has no transfer encoding")
 	case lengths > 1, encodings > 1, lengths > 0 && encodings > 0:
-		return malformed("the length of the body is ambiguous")
+		return 0, malformed("the length of the body is ambiguous")
 	}
-	return nil
+	return hosts, nil
 }
 
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
