pipeline: an incomplete header is answered by 408

The connection was closed without a word, so a client could not tell that its request was not run. Empty lines before a request hid that its header was incomplete, so that it had the idle timeout.

TestIncompleteHeaderTimesOut: four rows red before, green now.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -156,6 +156,9 @@
 	if cap(head) <= maxKeptHeadBuffer {
 		c.headBuf = head
 	}
+	if isTimeout(err) {
+		err = &statusError{status: http.StatusRequestTimeout, reason: "the header is incomplete"}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -178,7 +181,7 @@
 // headIsBuffered reports whether the whole header has arrived with its first byte.
 func (c *conn) headIsBuffered() bool {
 	buffered, err := c.br.Peek(c.br.Buffered())
-	return err == nil && bytes.Contains(buffered, []byte("\r\n\r\n"))
+	return err == nil && bytes.Contains(bytes.TrimLeft(buffered, "\r\n"), []byte("\r\n\r\n"))
 }
 
 // enter begins a phase of reading, with its deadline, and reports whether the connection may
@@ -352,7 +355,6 @@
 	case errors.Is(err, errEnded), isTimeout(err):
 		c.stopReading()
 	case errors.As(err, &status):
-		c.server.cfg.Metrics.ConnectionEnded(reasonMalformed)
 		c.reject(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}, status)
 	default:
 		c.clientLeft()
@@ -377,6 +379,7 @@
 	c.push(r)
 	c.ended, c.lingers = true, true
 	c.mu.Unlock()
+	c.server.cfg.Metrics.ConnectionEnded(reasonMalformed)
 	c.server.workers.run(r)
 }
 
--- a/transport/pipeline/framing_test.go
+++ b/transport/pipeline/framing_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+func TestIncompleteHeaderTimesOut(t *testing.T) {
+	for name, sent := range map[string]string{
+		"one byte":                  "G",
+		"no empty line":             "GET /never HTTP/1.1\r\nHost: h\r\n",
+		"empty lines before":        "\r\n\r\nGET /never HTTP/1.1\r\n",
+		"behind a complete request": get("/1") + "GET /never HTTP/1.1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, func(c *pipeline.Config) { c.HeaderTimeout = 100 * time.Millisecond })
+			c := s.dial(t)
+			c.send(sent)
+			if strings.Contains(sent, "/1") {
+				c.want(http.StatusOK, "/1")
+			}
+			started := time.Now()
+			c.want(http.StatusRequestTimeout, "*")
+			if took := time.Since(started); took > time.Second {
+				t.Errorf("answered after %s", took)
+			}
+			c.wantEnd()
+		})
+	}
+}
+
 func TestIdleConnectionIsClosed(t *testing.T) {
 	for name, requests := range map[string]int{"unused": 0, "used": 1, "used twice": 2} {
 		t.Run(name, func(t *testing.T) {
