pipeline: no length with 204, no version above HTTP/1.1

A response that has no body kept the length that the handler had set (RFC 9110, section 8.6), and a request of HTTP/1.5 was answered as HTTP/1.5. Both as net/http now.

Two rows of TestResponsesAreFramed and TestResponsesWithoutBodyAreFramed: red before, green now.

--- a/transport/pipeline/framing_test.go
+++ b/transport/pipeline/framing_test.go
@@ -164,6 +164,7 @@
 		"HTTP/1.0":              {"GET /1 HTTP/1.0\r\n\r\n", http.StatusOK, "/1", false},
 		"HTTP/1.0, kept":        {"GET /1 HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", http.StatusOK, "/1", true},
 		"HTTP/1.0, kept, large": {"GET /1?large=xxx HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", http.StatusOK, "/1" + strings.Repeat("x", 3000), false},
+		"newer minor version":   {"GET /1 HTTP/1.5\r\nHost: h\r\n\r\n", http.StatusOK, "/1", true},
 		"empty lines before":    {"\r\n\r\n" + get("/1"), http.StatusOK, "/1", true},
 		"options of the server": {"OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusOK, "*", true},
 	} {
@@ -195,6 +196,7 @@
 		"HEAD with length, unsaid":   {http.MethodHead, http.StatusOK, "4", ""},
 		"no content":                 {http.MethodGet, http.StatusNoContent, "", ""},
 		"no content, but written":    {http.MethodGet, http.StatusNoContent, "", "body"},
+		"no content with a length":   {http.MethodGet, http.StatusNoContent, "4", "body"},
 		"not modified with a length": {http.MethodGet, http.StatusNotModified, "4", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -231,6 +231,9 @@
 		r.length < 0 && r.hasBody() && !r.chunked
 	r.header.Del("Connection")
 	r.header.Del("Transfer-Encoding")
+	if !bodyAllowed(r.status) {
+		r.header.Del("Content-Length")
+	}
 	if r.conn.closesWith(closes) {
 		r.header.Set("Connection", "close")
 	} else if !r.req.ProtoAtLeast(1, 1) {
@@ -261,7 +264,7 @@
 
 func (r *response) writeHead(bw *bufio.Writer) error {
 	line := append(bw.AvailableBuffer(), "HTTP/1."...)
-	line = strconv.AppendInt(line, int64(r.req.ProtoMinor), 10)
+	line = strconv.AppendInt(line, int64(min(r.req.ProtoMinor, 1)), 10)
 	line = append(line, ' ')
 	line = strconv.AppendInt(line, int64(r.status), 10)
 	line = append(line, ' ')
