--- a/transport/pipeline/body.go
+++ b/transport/pipeline/body.go
@@ -103,11 +103,23 @@
 // Close implements io.Closer. The request ends; what is left of the body is for finish.
 func (b *body) Close() error { return nil }
 
-// begins reports whether any byte of the body was asked for.
-func (b *body) wasRead() bool {
-	b.mu.Lock()
+// tooLong reports whether more of the body is left than is discarded.
+func (b *body) tooLong() bool {
+	if !b.mu.TryLock() {
+		return false // Another goroutine still reads it.
+	}
 	defer b.mu.Unlock()
-	return b.begun
+	return b.left > maxDiscarded
+}
+
+// isReleased reports whether the connection may be read beyond the body.
+func (b *body) isReleased() bool {
+	select {
+	case <-b.released:
+		return true
+	default:
+		return false
+	}
 }
 
 // finish ends the body after its request, and reports whether the next request can be read
@@ -122,9 +134,8 @@
 			rest -= n
 		}
 	}
-	if errors.Is(b.err, io.EOF) {
-		return true
-	}
-	close(b.released)
-	return false
+	return errors.Is(b.err, io.EOF)
 }
+
+// release releases the connection after finish has returned false.
+func (b *body) release() { close(b.released) }
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -24,6 +24,8 @@
 	// lingerTimeout is how long a connection is still read after its last response. If it
 	// were closed with unread bytes, the client's system could drop the response.
 	lingerTimeout = 500 * time.Millisecond
+	// discardTimeout is the time for the rest of a body that the handler has not read.
+	discardTimeout = 500 * time.Millisecond
 	// maxLingerBytes bounds the bytes that are read for that.
 	maxLingerBytes = 256 << 10
 	// maxKeptHeadBuffer is the largest buffer for headers that an idle connection keeps.
@@ -154,6 +156,9 @@
 	if cap(head) <= maxKeptHeadBuffer {
 		c.headBuf = head
 	}
+	if isTimeout(err) {
+		err = &statusError{status: http.StatusRequestTimeout, reason: "the header is incomplete"}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +181,7 @@
 // headIsBuffered reports whether the whole header has arrived with its first byte.
 func (c *conn) headIsBuffered() bool {
 	buffered, err := c.br.Peek(c.br.Buffered())
-	return err == nil && bytes.Contains(buffered, []byte("\r\n\r\n"))
+	return err == nil && bytes.Contains(bytes.TrimLeft(buffered, "\r\n"), []byte("\r\n\r\n"))
 }
 
 // enter begins a phase of reading, with its deadline, and reports whether the connection may
@@ -203,10 +208,9 @@
 		}
 	case phaseHeader:
 		c.setDeadline(time.Now().Add(c.server.cfg.HeaderTimeout))
-	case phaseBody:
-		c.setDeadline(time.Time{})
-	case phaseTurn, phaseWatch:
-		if c.deadline.Equal(pastDeadline) {
+	case phaseBody, phaseTurn, phaseWatch:
+		// The deadline of an earlier phase would end each read once it has passed.
+		if !c.deadline.IsZero() {
 			c.setDeadline(time.Time{})
 		}
 	}
@@ -239,7 +243,8 @@
 		c.reject(req, &statusError{status: http.StatusExpectationFailed, reason: "the expectation is unknown"})
 		return false
 	}
-	r.concurrent = r.body == nil && !req.Close && c.server.cfg.MaxDepth > 1 && c.server.cfg.Concurrent(req)
+	// A response to HTTP/1.0 may have no length, so that only the end of the connection ends it.
+	r.concurrent = r.body == nil && !req.Close && req.ProtoAtLeast(1, 1) && c.server.cfg.MaxDepth > 1 && c.server.cfg.Concurrent(req)
 	if !c.awaitTurn(r) {
 		return false
 	}
@@ -350,7 +355,6 @@
 	case errors.Is(err, errEnded), isTimeout(err):
 		c.stopReading()
 	case errors.As(err, &status):
-		c.server.cfg.Metrics.ConnectionEnded(reasonMalformed)
 		c.reject(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody}, status)
 	default:
 		c.clientLeft()
@@ -367,9 +371,15 @@
 		c.mu.Unlock()
 		return
 	}
+	if n := len(c.queue); n > 0 && !c.queue[n-1].req.ProtoAtLeast(1, 1) {
+		c.end() // Its response may have no length, so that nothing can follow it.
+		c.mu.Unlock()
+		return
+	}
 	c.push(r)
 	c.ended, c.lingers = true, true
 	c.mu.Unlock()
+	c.server.cfg.Metrics.ConnectionEnded(reasonMalformed)
 	c.server.workers.run(r)
 }
 
@@ -377,41 +387,60 @@
 func (c *conn) run(r *response) {
 	completed := r.serve()
 	r.cancel()
-	heldSince := c.markReady(r)
+	heldSince := c.markReturned(r, completed)
 	if !completed {
 		c.cancelBehind(r)
 	}
 	<-r.turn
 	sent := completed && r.finish() == nil
-	if !completed {
+	if !sent && !c.isBroken() {
+		_ = c.bw.Flush() // Responses before this one may still be buffered. The connection ends anyway.
+	}
+	if !completed && c.ctx.Err() == nil {
 		c.server.cfg.Metrics.ConnectionEnded(reasonAborted)
 	}
 	if !sent {
 		c.breakOff()
 	}
-	if r.body != nil && !r.body.finish(sent && !r.awaitsContinue()) {
-		c.stopReading()
+	if r.body != nil {
+		c.limitDiscard(r.body)
+		if !r.body.finish(sent && !r.awaitsContinue()) {
+			c.stopReadingBody() // Before the release: what follows is no request.
+			r.body.release()
+		}
 	}
 	if !heldSince.IsZero() {
 		held := time.Since(heldSince)
 		c.server.cfg.Metrics.ResponseHeld(held)
-		r.onSent(held)
+		if sent {
+			r.onSent(held)
+		}
 	}
 	c.pop(r)
 }
 
-// markReady marks a response as complete. It returns the time if the turn of the response
-// has not come yet, else the zero time.
-func (c *conn) markReady(r *response) time.Time {
+// markReturned marks a response whose handler has returned. It returns the time if the turn
+// of the response has not come yet, else the zero time.
+func (c *conn) markReturned(r *response, completed bool) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.ready = true
+	r.ready = completed
 	if c.queue[0] == r {
 		return time.Time{}
 	}
 	return time.Now()
 }
 
+// limitDiscard bounds the time for what is left of a body, which also ends a read of it that
+// the handler has left pending.
+func (c *conn) limitDiscard(b *body) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseBody && !b.isReleased() {
+		c.setDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
 // nextIsReady reports whether the response behind the first one is complete, so that both
 // can be sent together.
 func (c *conn) nextIsReady() bool {
@@ -499,6 +528,14 @@
 	c.end()
 }
 
+// stopReadingBody is stopReading for a client that may still send a body.
+func (c *conn) stopReadingBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+	c.lingers = true
+}
+
 // end lets no further request begin, and ends a pending read unless it is of a body. mu is
 // held.
 func (c *conn) end() {
@@ -527,7 +564,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.end()
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 && c.ctx.Err() == nil {
 		c.server.cfg.Metrics.ConnectionEnded(reasonClientLeft)
 	}
 	c.cancel()
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -53,7 +53,7 @@
 	rejection *statusError
 	// turn is closed when all responses before this one have been sent.
 	turn chan struct{}
-	// ready is set once the handler has returned. It is guarded by conn.mu.
+	// ready is set once the handler has returned without aborting. It is guarded by conn.mu.
 	ready bool
 	// countsBehind is set if the request has a unit of the limit of requests behind others.
 	// It is guarded by conn.mu.
@@ -66,13 +66,16 @@
 	// length is the length of the body in bytes, or -1 if the handler has not set it.
 	length  int64
 	written int64
+	// incomplete is set if bytes of the body were dropped.
+	incomplete bool
 	// unsent holds the start of the body until the header is sent.
 	unsent  []byte
 	chunked bool
 
-	// continueMu guards headSent, since another goroutine of the handler may read the body.
-	continueMu sync.Mutex
-	headSent   bool
+	// continueMu guards what follows, since another goroutine of the handler may read the body.
+	continueMu   sync.Mutex
+	headSent     bool
+	continueSent bool
 }
 
 func newResponse(c *conn, req *http.Request) *response {
@@ -142,6 +145,7 @@
 		select {
 		case <-r.turn:
 		case <-r.ctx.Done():
+			r.incomplete = true
 			return 0, errNotSent
 		}
 	}
@@ -179,7 +183,7 @@
 
 // finish sends what is left of a response whose turn has come.
 func (r *response) finish() error {
-	if r.conn.isBroken() {
+	if r.incomplete || r.conn.isBroken() {
 		return errNotSent
 	}
 	if r.status == 0 {
@@ -223,10 +227,13 @@
 		return nil
 	}
 	r.chunked = r.length < 0 && r.hasBody() && r.req.ProtoAtLeast(1, 1)
-	closes := r.req.Close || r.awaitsContinue() || hasToken(r.header["Connection"], "close") ||
+	closes := r.req.Close || r.awaitsContinue() || r.body != nil && r.body.tooLong() || hasToken(r.header["Connection"], "close") ||
 		r.length < 0 && r.hasBody() && !r.chunked
 	r.header.Del("Connection")
 	r.header.Del("Transfer-Encoding")
+	if !bodyAllowed(r.status) {
+		r.header.Del("Content-Length")
+	}
 	if r.conn.closesWith(closes) {
 		r.header.Set("Connection", "close")
 	} else if !r.req.ProtoAtLeast(1, 1) {
@@ -257,7 +264,7 @@
 
 func (r *response) writeHead(bw *bufio.Writer) error {
 	line := append(bw.AvailableBuffer(), "HTTP/1."...)
-	line = strconv.AppendInt(line, int64(r.req.ProtoMinor), 10)
+	line = strconv.AppendInt(line, int64(min(r.req.ProtoMinor, 1)), 10)
 	line = append(line, ' ')
 	line = strconv.AppendInt(line, int64(r.status), 10)
 	line = append(line, ' ')
@@ -300,6 +307,7 @@
 	if !r.expectsContinue() || r.headSent {
 		return
 	}
+	r.continueSent = true
 	_, _ = io.WriteString(r.conn.bw, "HTTP/1.1 100 Continue\r\n\r\n") // An error shows when the body is read.
 	_ = r.conn.bw.Flush()                                             // Likewise.
 }
@@ -310,7 +318,11 @@
 
 // awaitsContinue reports whether the client still waits to be asked for the body. It may
 // send it or not, so the connection can't be used for another request.
-func (r *response) awaitsContinue() bool { return r.expectsContinue() && !r.body.wasRead() }
+func (r *response) awaitsContinue() bool {
+	r.continueMu.Lock()
+	defer r.continueMu.Unlock()
+	return r.expectsContinue() && !r.continueSent
+}
 
 // hasToken reports whether a list header contains a token.
 func hasToken(values []string, token string) bool {
