peer: a failed accept does not end the VM

Once a VM had no descriptors left, the accept of a peer's connection failed, Serve returned the error and the gateway ended, with all requests under way.

Temporary errors are tried again after 5 ms to 1 s, as transport/pipeline does; all others end Serve as before.

--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -59,17 +59,29 @@
 	return context.AfterFunc(ctx, s.Close)
 }
 
-// Serve accepts sessions until the listener fails or is closed, or the manager is
-// closed. A connection that fails does not affect the others.
+// Bounds of the pause after a failed accept, for example for want of descriptors.
+const minAcceptPause, maxAcceptPause = 5 * time.Millisecond, time.Second
+
+// Serve accepts sessions until the listener fails for good or is closed, or the manager
+// is closed. A connection that fails does not affect the others.
 func (m *Manager) Serve(l net.Listener) error {
+	pause := minAcceptPause
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+		case m.ctx.Err() == nil && isTemporary(err):
+			m.cfg.Log.Info("peer: accept failed, trying again", "error", err.Error(), "after_ms", pause.Milliseconds())
+			m.pause(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
+		default:
 			if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				err = nil
 			}
 			return errors.Wrap(err, "peer: accept")
 		}
+		pause = minAcceptPause
 		if !m.begin() {
 			_ = conn.Close()
 			return nil
@@ -81,6 +93,22 @@
 	}
 }
 
+// isTemporary reports whether the next accept after a failed one may succeed.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary()
+}
+
+// pause waits for a while, or until the manager is closed.
+func (m *Manager) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-m.ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // begin registers a goroutine that Close waits for. It returns false once the manager is
 // closed, since nothing may be added while Close waits.
 func (m *Manager) begin() bool {
