upstream: a lack of descriptors is no failure of the worker

A dial that failed for want of descriptors or ports counted as an unreachable worker: the VM paused it, and its outcome went to the other VMs, which eject a worker that fails for several. Found while reading.

Now the least recently used idle connection to any worker is closed and the dial is tried once more; failing that, the worker counts as busy, which is "not run" and says nothing of it. MaxOpen bounds the connections to all workers together in the same way; nothing sets it yet.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -28,6 +28,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,10 +52,11 @@
 
 // Kinds of failure.
 const (
-	// KindUnreachable means that no connection could be established.
+	// KindUnreachable means that no connection could be established, though this machine
+	// had what that takes.
 	KindUnreachable Kind = iota
-	// KindBusy means that the worker's connection limit is reached and all
-	// connections are in use.
+	// KindBusy means that the worker's connection limit, or what this machine may open,
+	// is reached and all connections are in use.
 	KindBusy
 	// KindShed means that the upstream refused the request because of overload.
 	KindShed
@@ -146,6 +148,9 @@
 	// ProgressTimeout limits each write of a request and each read of a response
 	// body. Default 30 s.
 	ProgressTimeout time.Duration
+	// MaxOpen bounds the open connections to all upstreams together. At the bound the
+	// least recently used idle one is closed. 0 means no limit.
+	MaxOpen int
 	// IdleTimeout is how long an idle connection is kept. Default 30 s. A shorter
 	// Keep-Alive timeout of the upstream takes precedence.
 	IdleTimeout time.Duration
@@ -216,12 +221,16 @@
 	cfg   Config
 	mu    sync.Mutex
 	pools map[string]*pool
+	// openConns is the number of connections in all pools.
+	openConns atomic.Int64
 }
 
 // pool holds the connections to one address.
 type pool struct {
 	mu        sync.Mutex
 	openCount int
+	// total counts the connections of all pools.
+	total *atomic.Int64
 	// newestStart is the greatest Worker.Start seen for the address.
 	newestStart uint64
 	idle        []*conn // in order of use, most recent last
@@ -273,7 +282,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.pools[address]
 	if !ok {
-		p = &pool{}
+		p = &pool{total: &c.openConns}
 		c.pools[address] = p
 	}
 	return p
@@ -313,12 +322,20 @@
 	if !p.reserve(w.MaxConnections) {
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
 	}
+	if !c.makeRoom() {
+		p.release()
+		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID, cause: errAllInUse}
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	raw, err := c.cfg.Dial(ctx, w.Address)
+	raw, err := c.dial(ctx, w.Address)
 	if err != nil {
 		p.release()
-		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: err}
+		kind := KindUnreachable
+		if isExhausted(err) {
+			kind = KindBusy
+		}
+		return nil, &Error{kind: kind, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
 	created := newConn(raw, p, c.cfg.IdleTimeout)
 	created.processStart, created.opened = w.Start, c.cfg.Now()
@@ -392,10 +409,12 @@
 		oldest := p.idle[0]
 		p.idle = p.idle[1:]
 		p.openCount--
+		p.total.Add(-1)
 		oldest.pool = nil
 		oldest.close()
 	}
 	p.openCount++
+	p.total.Add(1)
 	return true
 }
 
@@ -403,6 +422,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openCount--
+	p.total.Add(-1)
 }
 
 // putIdle returns a connection to the pool after a complete exchange. It closes
@@ -419,4 +439,7 @@
 	c.close()
 }
 
+// errAllInUse reports that all connections that Config.MaxOpen allows are in use.
+var errAllInUse = errors.New("all connections are in use")
+
 var errClosed = errors.New("upstream closed the connection")
