pipeline: the connections of clients can be bounded

Nothing bounded them: on a VM with few descriptors they left none for connections to workers.

At the bound the connection that has been without requests for longest, a second at least, gives way to a new one; if all are in use the new one is closed unread, which tells its client at once to go elsewhere.

--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -39,6 +39,8 @@
 	reasonMalformed  = "malformed"
 	reasonStalled    = "stalled"
 	reasonAborted    = "aborted"
+	reasonEvicted    = "evicted"
+	reasonRejected   = "rejected"
 )
 
 // phase is what the reading goroutine of a connection does.
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -75,6 +75,10 @@
 	MaxHeld, MaxHeldTotal int
 	// ReadAhead bounds the bytes that are read of a connection beyond the next request.
 	ReadAhead int
+	// MaxConnections bounds the open connections. At the bound the one that has been
+	// without requests for longest gives way to a new one.
+	// 0 means no limit.
+	MaxConnections int
 	// MaxHeaderBytes bounds the request line and the header fields of a request.
 	MaxHeaderBytes int
 	// HeaderTimeout is the time for the header of a request from its first byte on.
@@ -126,8 +130,9 @@
 	for name, value := range map[string]int64{
 		"most requests of a connection": int64(cfg.MaxDepth), "most requests behind others": int64(cfg.MaxBehind),
 		"most held bytes": int64(cfg.MaxHeld), "most held bytes of all connections": int64(cfg.MaxHeldTotal),
-		"bytes read ahead": int64(cfg.ReadAhead), "most header bytes": int64(cfg.MaxHeaderBytes),
-		"header timeout": int64(cfg.HeaderTimeout), "idle timeout": int64(cfg.IdleTimeout), "stall timeout": int64(cfg.StallTimeout),
+		"bytes read ahead": int64(cfg.ReadAhead), "most connections": int64(cfg.MaxConnections),
+		"most header bytes": int64(cfg.MaxHeaderBytes),
+		"header timeout":    int64(cfg.HeaderTimeout), "idle timeout": int64(cfg.IdleTimeout), "stall timeout": int64(cfg.StallTimeout),
 	} {
 		if value < 0 {
 			return nil, errors.Wrapf(ErrConfig, "%s: %d is negative", name, value)
@@ -173,7 +178,9 @@
 		nc, err := l.Accept()
 		if err == nil {
 			pause = minAcceptPause
-			s.serveConn(nc)
+			if s.admit(nc) {
+				s.serveConn(nc)
+			}
 			continue
 		}
 		if s.isStopping() {
