--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -167,6 +167,9 @@
 	// LinkMbps is the bandwidth of this VM's link, in Mbit/s. VMs with high bandwidth
 	// distribute changes to the others. Default 0, which means unknown.
 	LinkMbps int
+	// Descriptors is how many files and sockets this VM may have open. It bounds the
+	// connections of clients and those to workers. Default 0, which means unknown.
+	Descriptors int
 	// Seeds are addresses of peers that serve state if the store is unavailable at the start.
 	Seeds []string
 	// FirstStart is set if the whole fleet starts for the first time. VMs then request
@@ -267,6 +270,9 @@
 	if c.LinkMbps < 0 || c.LinkMbps > maxLinkMbps {
 		add("link", "want 0 to "+strconv.Itoa(maxLinkMbps)+" Mbit/s")
 	}
+	if c.Descriptors < 0 {
+		add("descriptors", "want a number above 0")
+	}
 	c.Bounds.check(add)
 	c.Pipeline.check(add)
 	if len(problems) > 0 {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -286,3 +286,6 @@
 	}
 	return rollout.PhaseOrdered
 }
+
+// ConnectionLimit is connectionLimit.
+func ConnectionLimit(descriptors int) int { return connectionLimit(descriptors) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 	}})
 	g.upstreams = upstream.New(upstream.Config{
 		DialTimeout: workerDialTimeout, IdleTimeout: workerIdleTimeout, AtMostOnceMaxIdle: nonIdempotentIdleTimeout, TCPUserTimeout: workerAckTimeout, Dialect: cfg.Dialect, Now: clock.Now,
+		MaxOpen: connectionLimit(cfg.Descriptors),
 	})
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
 	cold := placement.NewColdLimiter(placement.ColdLimiterConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: clock.Now})
@@ -269,6 +270,7 @@
 		Handler: g.ingress, Concurrent: g.ingress.Concurrent, Metrics: g.cfg.Metrics, Log: g.log,
 		MaxDepth: p.MaxDepth, MaxBehind: p.MaxBehind, MaxHeld: p.MaxHeld, MaxHeldTotal: p.MaxHeldTotal, ReadAhead: p.ReadAhead, StallTimeout: p.StallTimeout,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxConnections: connectionLimit(g.cfg.Descriptors),
 	})
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,6 +29,7 @@
 		text("peer", "IP:port for other VMs"),
 		text("metrics", "IP:port for operators: metrics and explanations"),
 		&cli.FloatFlag{Name: "link", Usage: "width of this VM's link, in Mbit/s; 0 is unknown", Sources: env("link")},
+		number("descriptors", "files and sockets that this VM may have open; 0 is unknown", 0),
 		text("token", "bearer token that operators must show; without one there are no intents, status and explanations"),
 		text("platform", "IP:port of the platform's store"),
 		text("seeds", "addresses of peers to ask while the store is away at the start, with commas between"),
@@ -65,7 +66,7 @@
 		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
 		Peer: c.String("peer"), MetricsAddress: c.String("metrics"), Token: c.String("token"),
 		LinkMbps:   int(c.Float("link")),
-		FirstStart: c.Bool("first-start"),
+		FirstStart: c.Bool("first-start"), Descriptors: c.Int("descriptors"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
 			ApplyWithin:  min(c.Duration("apply-within"), c.Duration("leave-within")),
