experiment: a model of regions of unequal capacity

What callers saw: a third of the demand comes from a region with a tenth of the workers, so 70 of 100 of its requests run in other regions, 70 ms away.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -30,6 +30,7 @@
 	"choice":   choice,
 	"lending":  lending,
 	"limits":   limits,
+	"regions":  regions,
 	"rests":    rests,
 	"stop":     stopping,
 	"steps":    steps,
