route: ranks of the requests that may go to a service

By the priority of the workspace, then by that of the route, among what the configuration allows. A service whose requests have one rank is told as such.

--- a/state/route/route.go
+++ b/state/route/route.go
@@ -96,6 +96,8 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route // by host, then by prefix
 	services map[string]Service
+	// ranks contains the ranks of requests by service, in ascending order.
+	ranks map[string][]rank
 	// workspaces is nil if all clients are served.
 	workspaces *workspace.Directory
 }
@@ -124,6 +126,7 @@
 			prefixes[r.Prefix] = r
 		}
 	}
+	t.ranks = t.collectRanks()
 	return t
 }
 
--- a/state/workspace/workspace.go
+++ b/state/workspace/workspace.go
@@ -189,6 +189,19 @@
 	return shares
 }
 
+// Priorities returns the different priorities of the workspaces in ascending order.
+func (d *Directory) Priorities() []int {
+	if d == nil {
+		return nil
+	}
+	priorities := make([]int, 0, len(d.byName))
+	for _, w := range d.byName {
+		priorities = append(priorities, w.priority)
+	}
+	slices.Sort(priorities)
+	return slices.Compact(priorities)
+}
+
 // Len returns the number of workspaces. A nil directory has none.
 func (d *Directory) Len() int {
 	if d == nil {
