placement, ingress: full holders serve by rank

Callers saw: the priority of a route was read by permits alone, that of a workspace by nothing. Placement asks admission for the limit of each holder beyond its slots, where ranks of the service differ; permits get the same rank. A refusal tells in Retry-After when the holder has room; decision records say the rank and for whom room is reserved; ryehill_rank_refused_total counts refusals by service and rank.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -14,6 +14,9 @@
 // a stable part of the keys of one hall to other halls, and a cap limits both moves and
 // the balancing between regions.
 //
+// Where requests of a service have different ranks, room beyond the slots is reserved for
+// higher ranks (see package admission).
+//
 // The package does no I/O. Every VM decides independently from the same configuration.
 //
 // # Usage
@@ -29,6 +32,7 @@
 	"slices"
 	"time"
 
+	"github.com/ryehill/ryehill/coordination/admission"
 	"github.com/ryehill/ryehill/coordination/steer"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/holders"
@@ -114,15 +118,27 @@
 	// is the version in use.
 	Track worker.Track
 
-	// Priority is the priority of the request's route. 0 is the most urgent.
+	// Rank is the rank of the request among the Ranks of the requests that may go to the
+	// service. 0 is served first. With less than two ranks no room is reserved.
+	Rank, Ranks int
+	// TimeLeft is the time until the end of the request's objective, 0 for none.
+	TimeLeft time.Duration
+	// Priority is the priority of permits. 0 is the most urgent.
 	Priority int
 
+	// reservation is the room that is reserved for higher ranks.
+	reservation admission.Reservation
 	// displaced is set if the holder of the key is resting or out of permits.
 	displaced bool
 	// spillover is set if the region that holds the key has no permit for the request.
 	spillover bool
 }
 
+// admission returns the request as the admission controller sees it.
+func (r Request) admission() admission.Request {
+	return admission.Request{Service: r.Service, Rank: r.Rank, Ranks: r.Ranks, TimeLeft: r.TimeLeft}
+}
+
 // Choice is the result of a placement. The load of the chosen worker includes the request.
 type Choice struct {
 	worker         *worker.Worker
@@ -133,6 +149,8 @@
 	considered     []Considered
 	retryAfter     time.Duration
 	skippedHolder  string
+	// perSlot is the number of requests per slot of the chosen worker, 0 if it is cold.
+	perSlot float64
 }
 
 // Considered is a worker that was considered, and why it was chosen or not.
@@ -143,7 +161,12 @@
 	// Busy is the estimated number of requests at the worker, and MaxBusy the limit below
 	// which it would have been chosen. Both are 0 for a cold worker.
 	Busy, MaxBusy float64
-	Cold          bool
+	// Slots is the number of slots of the worker. Unreserved is MaxBusy without the room that
+	// is reserved for rank ReservedFor or higher, or in which the request would not be
+	// answered in time.
+	Slots, Unreserved float64
+	ReservedFor       int
+	Cold              bool
 	// Limited is set if no permit was available for the worker. PerSecond is the rate that it
 	// takes from all VMs, in requests per second.
 	Limited   bool
@@ -158,9 +181,19 @@
 	if c.Limited {
 		return fmt.Sprintf("%s in %s: takes %.1f a second from all VMs, used up", c.ID, c.Region, c.PerSecond)
 	}
-	return fmt.Sprintf("%s in %s: %.1f busy, room below %.1f", c.ID, c.Region, c.Busy, c.MaxBusy)
+	text := fmt.Sprintf("%s in %s: %.1f busy, room below %.1f", c.ID, c.Region, c.Busy, c.MaxBusy)
+	switch {
+	case c.MaxBusy >= c.Unreserved:
+		return text
+	case c.ReservedFor >= 0:
+		return fmt.Sprintf("%s, up to %.1f reserved for rank %d or higher", text, c.Unreserved, c.ReservedFor)
+	}
+	return fmt.Sprintf("%s, up to %.1f too late for the objective", text, c.Unreserved)
 }
 
+// contended reports whether the worker is warm and has no free slot.
+func (c Considered) contended() bool { return !c.Cold && c.Busy >= c.Slots }
+
 // Worker returns the chosen worker, or the zero value if none was chosen.
 func (c Choice) Worker() worker.Worker {
 	if c.worker == nil {
@@ -181,7 +214,8 @@
 func (c Choice) SteeringReason() string { return c.steeringReason }
 
 // RetryAfter returns the time after which a worker may accept the request, if it was refused
-// because of a resting or rate-limited worker, and 0 otherwise.
+// because of a resting or rate-limited worker or if requests of its service have different
+// ranks, and 0 otherwise.
 func (c Choice) RetryAfter() time.Duration { return c.retryAfter }
 
 // SkippedHolder describes the worker that would hold the request's key, if it was skipped
@@ -195,8 +229,8 @@
 // Remote reports whether the worker is in another region.
 func (c Choice) Remote() bool { return c.remote }
 
-// Config configures a Placer. All fields are required except Holders, Demand, Confirmed
-// and Permits.
+// Config configures a Placer. All fields are required except Holders, Demand, Confirmed,
+// Permits and Admission.
 type Config struct {
 	// Hall and Region are those of this VM.
 	Hall, Region string
@@ -214,6 +248,8 @@
 	Confirmed func(*Snapshot) time.Time
 	// Permits issues permits for rate-limited workers. Nil disables rate limits.
 	Permits Permits
+	// Admission reserves room for higher ranks. Nil means a new controller.
+	Admission *admission.Controller
 }
 
 // Placer chooses workers. It is safe for concurrent use.
@@ -233,6 +269,9 @@
 	if cfg.Permits == nil {
 		cfg.Permits = unlimitedPermits{}
 	}
+	if cfg.Admission == nil {
+		cfg.Admission = admission.New(admission.Config{Now: cfg.Now})
+	}
 	return &Placer{cfg: cfg}
 }
 
@@ -250,7 +289,9 @@
 	p.countDemand(r)
 	holder, resting := p.restingHolder(r, workers, dest.region)
 	r.displaced = resting
+	r.reservation = p.cfg.Admission.Reserve(r.admission())
 	choice, refusal := p.chooseAvailable(s, r, workers, dest)
+	p.countContention(r, choice)
 	if resting && refusal == RefusalBusy {
 		choice, refusal = p.refuseResting(holder, workers.now, choice.considered)
 		choice.retryAfter = min(choice.retryAfter, maxDisplacedWait)
@@ -316,6 +357,20 @@
 	}
 }
 
+// countContention counts the demand of the request's rank, once per request.
+func (p *Placer) countContention(r Request, c Choice) {
+	if len(r.Tried) == 0 {
+		p.cfg.Admission.CountRequest(r.admission(), len(c.considered) > 0 && c.considered[0].contended())
+	}
+}
+
+// RecordRunTime records the time in which the chosen worker answered a request.
+func (p *Placer) RecordRunTime(r Request, c Choice, took time.Duration) {
+	if c.perSlot > 0 {
+		p.cfg.Admission.RecordRunTime(r.admission(), took, c.perSlot)
+	}
+}
+
 // IsCold reports whether a worker is treated as cold.
 func (p *Placer) IsCold(s *Snapshot, w *worker.Worker) bool {
 	now := p.cfg.Now()
@@ -350,7 +405,7 @@
 			return p.beginRequest(w, search.considered), RefusalNone
 		}
 	}
-	return Choice{considered: search.considered, retryAfter: search.retryAfter}, search.refusal()
+	return Choice{considered: search.considered, retryAfter: search.earliestRetry()}, search.refusal()
 }
 
 // HasCapacity reports whether any warm worker without a rate limit in the VM's region that may
@@ -365,7 +420,11 @@
 func (p *Placer) beginRequest(w *worker.Worker, considered []Considered) Choice {
 	load := p.cfg.Loads.GetOrCreate(w.Incarnation())
 	load.Begin()
-	return Choice{worker: w, load: load, remote: w.Region != p.cfg.Region, considered: considered}
+	choice := Choice{worker: w, load: load, remote: w.Region != p.cfg.Region, considered: considered}
+	if last := considered[len(considered)-1]; !last.Cold && last.Slots > 0 {
+		choice.perSlot = (last.Busy + 1) / last.Slots
+	}
+	return choice
 }
 
 // mix is a hash finalizer, which lets every input bit affect all output bits.
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -49,6 +49,8 @@
 	cold, full, denied int
 	// retryAfter is the shortest time after which a denied permit may be available.
 	retryAfter time.Duration
+	// roomAfter is the time in which the first full worker is expected to have room.
+	roomAfter time.Duration
 }
 
 // newSearch returns a search that has checked no workers.
@@ -77,7 +79,7 @@
 	}
 	seen := Considered{ID: w.ID, Hall: w.Hall, Region: region, Cold: p.IsCold(s.snapshot, w)}
 	if !seen.Cold {
-		seen.Busy, seen.MaxBusy = p.cfg.Loads.GetOrCreate(w.Incarnation()).Busy(), s.limits[s.full]*float64(w.Slots)
+		s.measure(&seen, w)
 	}
 	s.considered = append(s.considered, seen)
 	switch {
@@ -85,7 +87,7 @@
 		s.cold++ // The next holder serves the key until this worker is warm.
 		return false
 	case !seen.Cold && seen.Busy >= seen.MaxBusy:
-		s.full++
+		s.addFull(seen)
 		return false
 	}
 	if !limited {
@@ -98,6 +100,30 @@
 	return ok
 }
 
+// measure sets the load of a warm worker and the limit for the next holder of the key.
+func (s *search) measure(seen *Considered, w *worker.Worker) {
+	seen.Slots, seen.Busy = float64(w.Slots), s.placer.cfg.Loads.GetOrCreate(w.Incarnation()).Busy()
+	seen.Unreserved = s.limits[s.full] * seen.Slots
+	seen.MaxBusy = s.request.reservation.Limit(seen.Slots, seen.Unreserved)
+	seen.ReservedFor = s.request.reservation.ReservedFor()
+}
+
+// addFull records that the last worker is full.
+func (s *search) addFull(seen Considered) {
+	if s.full == 0 {
+		s.roomAfter = s.request.reservation.RoomAfter(seen.Slots, seen.Busy, seen.MaxBusy)
+	}
+	s.full++
+}
+
+// earliestRetry returns the time after which a refused request may be served.
+func (s *search) earliestRetry() time.Duration {
+	if s.refusal() == RefusalBusy {
+		return s.roomAfter
+	}
+	return s.retryAfter
+}
+
 // deny records that there is no permit for the last worker. Its keys move to other workers
 // like those of a resting worker.
 func (s *search) deny(perSecond float64, wait time.Duration) {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,6 +59,7 @@
 	restored  *prometheus.CounterVec
 	dropped   *prometheus.CounterVec
 	pipeline  pipeline
+	byRank    *prometheus.CounterVec
 }
 
 // New returns a set with a registry of its own.
@@ -99,6 +101,7 @@
 		restored:  counter(r, "store_objects_restored_total", "Objects that this VM wrote again after the store had lost them, by kind.", "kind"),
 		dropped:   counter(r, "store_objects_not_restored_total", "Objects of an earlier era that nobody wrote again in time, by kind.", "kind"),
 		pipeline:  newPipeline(r),
+		byRank:    counter(r, "rank_refused_total", "Requests that ryehill refused for lack of room where requests of a service have different ranks, by service and rank.", "service", "rank"),
 		copies:    counter(r, "peer_copies_total", "Whole kinds told to peers, by unit.", "unit"),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "ryehill", Name: "generation", Help: "Generation of the configuration in force.",
@@ -140,6 +143,14 @@
 // Refused counts a refusal.
 func (s *Set) Refused(reason string) { s.refused.WithLabelValues(reason).Inc() }
 
+// RankRefused counts a request of a rank that was refused for lack of room.
+func (s *Set) RankRefused(service string, rank int) {
+	s.byRank.WithLabelValues(service, strconv.Itoa(min(rank, maxRankLabel))).Inc()
+}
+
+// maxRankLabel bounds the ranks that are told apart.
+const maxRankLabel = 7
+
 // LogLeftOut counts a line that was not logged.
 func (s *Set) LogLeftOut(reason string) { s.leftOut.WithLabelValues(reason).Inc() }
 
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -45,6 +45,7 @@
 			q.recordChoice(attemptNumber, choice, refusal)
 			if refusal != placement.RefusalNone {
 				q.countRefusal(choice)
+				q.countRankRefusal()
 				q.retryAfter = choice.RetryAfter()
 				q.refusePlacement(busyReason(refusal, q.handler.cfg.Placer.HasCapacity(s, q.placementRequest())), attemptNumber)
 				return
@@ -90,7 +91,8 @@
 func (q *request) placementRequest() placement.Request {
 	return placement.Request{
 		Service: q.service, Key: q.key, Keyed: q.keyed,
-		Allows: q.allowsRegion, Tried: q.tried, Track: q.track, Priority: q.route.Priority,
+		Allows: q.allowsRegion, Tried: q.tried, Track: q.track,
+		Rank: q.rank, Ranks: q.ranks, TimeLeft: q.objectiveLeft(), Priority: q.permitPriority(),
 	}
 }
 
@@ -143,6 +145,9 @@
 	workerLoad.RecordOutcome(countsAgainstWorker(res.Status()))
 	q.reportAnswered(res.Status())
 	q.handler.cfg.Demand.RecordLatency(w.Service, q.elapsed(q.sentAt))
+	if !countsAgainstWorker(res.Status()) {
+		q.handler.cfg.Placer.RecordRunTime(q.placementRequest(), c, q.elapsed(q.sentAt))
+	}
 	if err := q.forwardResponse(res); err != nil {
 		workerLoad.RecordFailure()
 		failed := &failure{cause: retry.CauseBroken, err: err}
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -254,10 +254,12 @@
 	// track selects the workers for the next attempt.
 	splitter *rollout.Splitter
 	track    worker.Track
-	deadline time.Time
-	key      uint64
-	keyed    bool
-	body     *body
+	// rank is the rank of the request among the ranks of the service's requests.
+	rank, ranks int
+	deadline    time.Time
+	key         uint64
+	keyed       bool
+	body        *body
 	// cachedFingerprint is the fingerprint of the request, nil until it is first used.
 	cachedFingerprint *quarantine.Fingerprint
 	tried             []string
@@ -291,6 +293,7 @@
 		q.key = xxhash.Sum64String(q.id)
 	}
 	q.service = q.handler.split.Choose(q.route, q.key)
+	q.setRank(s)
 	q.splitter = q.handler.cfg.Rollouts.Splitter(q.service)
 	var err error
 	if q.body, err = readBody(q.req, s.Routes.Limits().MaxBodyBytes); err != nil {
--- a/transport/ingress/response.go
+++ b/transport/ingress/response.go
@@ -41,7 +41,7 @@
 	// the header is sent to the client. Up to then a failed attempt can be retried.
 	maxBufferedResponse = 256 << 10
 	// minRetryAfter and retryAfterJitter determine the Retry-After of a refused
-	// request unless a worker's rest or rate limit requires a longer one. The jitter
+	// request unless a worker has room only later. The jitter
 	// spreads the retries of clients that were refused at the same time.
 	minRetryAfter    = 100 * time.Millisecond
 	retryAfterJitter = 150 * time.Millisecond
