--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -220,4 +220,10 @@
 off leaving-of-next-process internal/gateway/compile.go 'g.loads.TransferLeaving(previous, &w)' 'false' ./internal/gateway TestLeavingSignalBefore
 off exit-after-response state/worker/exit.go 'return l.respondedAt.After(last) &&' 'return false && l.respondedAt.After(last) &&' ./state/worker TestSecondExit
 off given-up-is-reset transport/upstream/conn.go '_ = tcp.SetLinger(0)' '_ = tcp' ./transport/upstream TestCancelResetsConnection
+off rank-reserves coordination/admission/admission.go 'return min(higher/(s.demand+evidence), maxReserved)' 'return 0 * higher / (s.demand + evidence)' ./coordination/admission TestRoomIsReserved
+off rank-not-starved coordination/admission/admission.go 'if s.requests[r.level()] != 0 {' 'if true {' ./coordination/admission TestNoRankIsStarved
+off rank-in-time coordination/admission/reservation.go 'if r.runTime > 0 && r.timeLeft > 0 {' 'if false {' ./coordination/admission TestRoomIsOnlyForAnswersInTime
+off rank-equal-unchanged coordination/admission/admission.go 'func (r Request) Ranked() bool { return r.Ranks > 1 }' 'func (r Request) Ranked() bool { return r.Ranks >= 0 }' ./coordination/placement TestEqualRanksAreServed
+off rank-decides coordination/placement/search.go 's.request.reservation.Limit(seen.Slots, seen.Unreserved)' 'seen.Unreserved' ./coordination/placement TestRoomGoesByRank
+off rank-of-workspace state/route/rank.go 'rank{workspace: w.Priority(), route: r.Priority}' 'rank{workspace: r.Priority, route: r.Priority}' ./transport/ingress TestRoomGoesByRankOfWorkspace
 exit $missed
