admission: the typical run time is a median

A moving average rose with a few slow or cold workers, so room was withheld at all workers of the service: one answer in five eight times slower cut a limit of 8 to 4.4 (TestSlowWorkersLeaveTheRoomOfOthers, red with the average). The median moves by 3 % an answer towards each.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -43,8 +43,8 @@
 	maxReserved = 0.5
 	// exemptInterval is the number of requests of a rank of which one ignores reservations.
 	exemptInterval = 8
-	// runTimeWeight is the weight of a new run time in the moving average.
-	runTimeWeight = 0.05
+	// runTimeStep is the fraction by which each run time moves the estimate of their median.
+	runTimeStep = 0.03
 	// maxRoomWait bounds the time in which room is expected.
 	maxRoomWait = 2 * time.Second
 )
@@ -91,7 +91,8 @@
 	countedAt time.Time
 	// requests is the number of requests by rank, modulo exemptInterval.
 	requests [MaxRanks]int
-	// runTime is the moving average of the time a worker takes with a free slot.
+	// runTime is an estimate of the median time that a worker takes with a free slot. A few
+	// slow or cold workers do not change what is expected of the others.
 	runTime time.Duration
 }
 
@@ -155,11 +156,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.find(r.Service)
-	if s.runTime == 0 {
+	switch step := time.Duration(runTimeStep * float64(s.runTime)); {
+	case s.runTime == 0:
 		s.runTime = took
-		return
+	case took > s.runTime:
+		s.runTime = min(s.runTime+step, took)
+	default:
+		s.runTime = max(s.runTime-step, took)
 	}
-	s.runTime += time.Duration(runTimeWeight * float64(took-s.runTime))
 }
 
 // Reserve returns what is reserved from a request.
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -133,6 +133,24 @@
 	}
 }
 
+// Guards against room withheld at all workers since a few are slow.
+func TestSlowWorkersLeaveTheRoomOfOthers(t *testing.T) {
+	const runTime, slowness, slowOneIn, answers = 100 * time.Millisecond, 8, 5, 1000
+	controller := admission.New(admission.Config{Now: clockwork.NewFakeClock().Now})
+	for i := range answers {
+		took := runTime
+		if i%slowOneIn == 0 {
+			took *= slowness
+		}
+		controller.RecordRunTime(request(0), took, 1)
+	}
+	r := request(0)
+	r.TimeLeft = 5 * runTime / 2
+	if got := controller.Reserve(r).Limit(slots, limit); got < limit {
+		t.Errorf("limit %.2f, want %.2f", got, limit)
+	}
+}
+
 func TestRoomAfter(t *testing.T) {
 	const runTime = 400 * time.Millisecond
 	cases := map[string]struct {
