--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -25,17 +25,18 @@
 )
 
 var experiments = map[string]func(context.Context, *tabwriter.Writer) error{
-	"overhead": overhead,
-	"overload": overload,
-	"choice":   choice,
-	"lending":  lending,
-	"limits":   limits,
-	"regions":  regions,
-	"rests":    rests,
-	"stop":     stopping,
-	"steps":    steps,
-	"scale":    scale,
-	"table":    table,
+	"overhead":  overhead,
+	"overload":  overload,
+	"admission": admissionTable,
+	"choice":    choice,
+	"lending":   lending,
+	"limits":    limits,
+	"regions":   regions,
+	"rests":     rests,
+	"stop":      stopping,
+	"steps":     steps,
+	"scale":     scale,
+	"table":     table,
 }
 
 // Names returns the names of all experiments in order.
