--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	go test -run '^$$' -fuzz '^FuzzWorker$$' -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzWorkerWords -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzBalanceFromPeers -fuzztime 20s ./internal/gateway
+	go test -run '^$$' -fuzz FuzzServe -fuzztime 20s -fuzzminimizetime 5x ./transport/pipeline
 
 # A soak of the real daemons with faults from outside them; see docs/SOAK.md.
 SEED ?= 1
