pipeline: a malformed trailer ends the connection

The lines behind the last chunk were dropped unread, so a request in their place was taken for a trailer, and another was read behind it. They are checked like a header now.

--- a/transport/pipeline/framing_test.go
+++ b/transport/pipeline/framing_test.go
@@ -129,6 +129,7 @@
 		"malformed chunk":            {chunked + "\r\nz\r\nbody\r\n0\r\n\r\n", http.StatusOK, "/b", true},
 		"malformed end of a trailer": {chunked + "\r\n4\r\nbody\r\n0\r\nA: b\n\r\n", http.StatusOK, "/bbody", true},
 		"too large trailer":          {chunked + "\r\n4\r\nbody\r\n0\r\nA: " + strings.Repeat("b", 5<<10) + "\r\n\r\n", http.StatusOK, "/bbody", true},
+		"trailer without a name":     {chunked + "\r\n4\r\nbody\r\n0\r\nGET /never HTTP/1.1\r\n\r\n", http.StatusOK, "/bbody", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTestServer(t, nil)
--- a/transport/pipeline/head.go
+++ b/transport/pipeline/head.go
@@ -95,12 +95,9 @@
 	for len(fields) > 0 {
 		var line []byte
 		line, fields, _ = bytes.Cut(fields, []byte("\r\n"))
-		name, value, found := bytes.Cut(line, []byte(":"))
-		if !found || !isToken(name) {
-			return 0, malformed("a header field has no valid name")
-		}
-		if bytes.ContainsFunc(value, isControl) {
-			return 0, malformed("a header field has a control character")
+		name, err := checkField(line)
+		if err != nil {
+			return 0, err
 		}
 		switch {
 		case bytes.EqualFold(name, []byte("Host")):
@@ -125,6 +122,18 @@
 	return hosts, nil
 }
 
+// checkField checks a line of a header or a trailer, and returns the name of the field.
+func checkField(line []byte) (name []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return nil, malformed("a field has no valid name")
+	}
+	if bytes.ContainsFunc(value, isControl) {
+		return nil, malformed("a field has a control character")
+	}
+	return name, nil
+}
+
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
 // isToken reports whether a name consists of the characters of a token (RFC 9110, section
@@ -157,6 +166,9 @@
 		case len(line) == len("\r\n"):
 			return nil
 		}
+		if _, err := checkField(bytes.TrimSuffix(line, []byte("\r\n"))); err != nil {
+			return err
+		}
 	}
 	return malformed("the trailer is too large")
 }
