--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -93,6 +93,8 @@
 	// limiter and keys are used by the handler after a call of serve.
 	limiter ingress.Limiter
 	keys    ingress.Keys
+	// log is used by the handler after a call of serve. Its zero value drops all lines.
+	log logr.Logger
 
 	mu   sync.Mutex
 	runs map[string][]string // workers that got each request, by request id
@@ -154,7 +156,7 @@
 			return f.snapshot
 		},
 		Placer:    placement.New(placement.Config{Region: "here", Loads: f.loads, ColdLimiter: cold, Now: time.Now}),
-		Upstreams: client, Dialect: plainDialect{}, Metrics: metrics.New(), Log: logr.Discard(), Decisions: f.decisions,
+		Upstreams: client, Dialect: plainDialect{}, Metrics: metrics.New(), Log: f.log, Decisions: f.decisions,
 		VMCount: func() int { return 1 }, Retry: retry.Config{Burst: 100}, Limiter: f.limiter, Keys: f.keys,
 	})
 	f.server = httptest.NewServer(f.handler)
--- /dev/null
+++ b/transport/pipeline/queue.go
@@ -0,0 +1,184 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package pipeline
+
+import (
+	"context"
+	"time"
+)
+
+// mayBegin reports whether a request may begin now, and takes its unit of the shared limit
+// if it begins behind others. mu is held.
+func (c *conn) mayBegin(r *response) bool {
+	n := len(c.queue)
+	switch {
+	case n == 0:
+		return true
+	case !r.concurrent || !c.queue[0].concurrent || n >= c.server.cfg.MaxDepth:
+		return false
+	}
+	r.countsBehind = c.server.behind.take(n-1, 1)
+	return r.countsBehind
+}
+
+// push adds a request to queue. mu is held.
+func (c *conn) push(r *response) {
+	r.position = Position{Ahead: len(c.queue), Waited: time.Since(r.receivedAt)}
+	if len(c.queue) == 0 {
+		r.turn = closedChannel
+	} else {
+		r.turn = make(chan struct{})
+		c.server.cfg.Metrics.PipelinedRequest(len(c.queue))
+	}
+	r.ctx, r.cancel = context.WithCancel(context.WithValue(c.ctx, responseKey{}, r))
+	c.queue = append(c.queue, r)
+	c.ended = c.ended || r.req.Close
+}
+
+// run runs a request and sends its response when its turn has come.
+func (c *conn) run(r *response) {
+	completed := r.serve()
+	r.cancel()
+	heldSince := c.markReturned(r, completed)
+	if !completed {
+		c.cancelBehind(r)
+	}
+	<-r.turn
+	sent := completed && r.finish() == nil
+	if !sent && !c.isBroken() {
+		_ = c.bw.Flush() // Responses before this one may still be buffered. The connection ends anyway.
+	}
+	if !completed && c.ctx.Err() == nil {
+		c.server.cfg.Metrics.ConnectionEnded(reasonAborted)
+	}
+	if !sent {
+		c.breakOff()
+	}
+	if r.body != nil {
+		c.limitDiscard(r.body)
+		if !r.body.finish(sent && !r.awaitsContinue()) {
+			c.stopReadingBody() // Before the release: what follows is no request.
+			r.body.release()
+		}
+	}
+	if !heldSince.IsZero() {
+		held := time.Since(heldSince)
+		c.server.cfg.Metrics.ResponseHeld(held)
+		if sent {
+			r.onSent(held)
+		}
+	}
+	c.pop(r)
+}
+
+// markReturned marks a response whose handler has returned. It returns the time if the turn
+// of the response has not come yet, else the zero time.
+func (c *conn) markReturned(r *response, completed bool) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.ready = completed
+	if c.queue[0] == r {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
+// limitDiscard bounds the time for what is left of a body, which also ends a read of it that
+// the handler has left pending.
+func (c *conn) limitDiscard(b *body) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseBody && !b.isReleased() {
+		c.setDeadline(time.Now().Add(discardTimeout))
+	}
+}
+
+// nextIsReady reports whether the response behind the first one is complete, so that both
+// can be sent together.
+func (c *conn) nextIsReady() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) > 1 && c.queue[1].ready
+}
+
+// cancelBehind cancels the requests behind an aborted one, whose responses can't be sent.
+func (c *conn) cancelBehind(r *response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+	behind := false
+	for _, other := range c.queue {
+		if behind {
+			other.cancel()
+		}
+		behind = behind || other == r
+	}
+}
+
+// pop removes the first request from queue and lets the next one send its response.
+func (c *conn) pop(r *response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue[0] = nil
+	if c.queue = c.queue[1:]; len(c.queue) > 0 {
+		close(c.queue[0].turn)
+	}
+	if r.countsBehind {
+		c.server.behind.release(1)
+	}
+	c.releaseHeld(r)
+	c.popped.Broadcast()
+	if len(c.queue) == 0 {
+		c.restsSince = time.Now()
+	}
+	if c.phase == phaseTurn && !c.ended || c.phase == phaseWatch && len(c.queue) == 0 {
+		c.interruptRead()
+	}
+}
+
+// hold accounts for bytes of a response that waits for its turn, if the limits allow it.
+func (c *conn) hold(r *response, n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held+n > c.server.cfg.MaxHeld || !c.server.held.take(c.held, n) {
+		return false
+	}
+	c.held += n
+	r.heldBytes += n
+	c.server.cfg.Metrics.HeldBytes(c.server.held.inUse())
+	return true
+}
+
+// releaseHeld returns what a response has taken by hold. mu is held.
+func (c *conn) releaseHeld(r *response) {
+	if r.heldBytes == 0 {
+		return
+	}
+	c.held -= r.heldBytes
+	c.server.held.release(r.heldBytes)
+	r.heldBytes = 0
+	c.server.cfg.Metrics.HeldBytes(c.server.held.inUse())
+}
+
+// closesWith reports whether a response, whose turn has come, is the last one of the
+// connection. If closes is set, nothing further is read.
+func (c *conn) closesWith(closes bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if closes {
+		c.end()
+	}
+	last := c.ended && len(c.queue) == 1
+	c.lingers = c.lingers || last
+	return last
+}
+
+// awaitResponses waits until no request is left in queue.
+func (c *conn) awaitResponses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) > 0 {
+		c.popped.Wait()
+	}
+}
