pipeline: an aborted response does not drop those on their way before it

The connection was closed at once. With requests of the client unread, the system then resets it and drops what it had not delivered: complete responses to a client that reads late. After an incomplete response the sending half is closed and the connection lingers, as after a last response.

TestAbortDoesNotDropResponsesOnTheirWay: connection reset in three of three runs before; green in 20 with -race.

--- a/transport/pipeline/ending.go
+++ b/transport/pipeline/ending.go
@@ -95,8 +95,22 @@
 	c.cancel()
 }
 
-// breakOff closes the connection at once, so that an incomplete response does not look
-// complete.
+// endAfterIncomplete ends the connection after a response that could not be sent whole.
+// Those before it may still be buffered, here or in the system.
+func (c *conn) endAfterIncomplete(r *response) {
+	if r.endsWithConnection() {
+		c.breakOff()
+		return
+	}
+	_ = c.bw.Flush() // An error breaks off the connection.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+	c.broken, c.lingers = true, true
+	c.cancel()
+}
+
+// breakOff closes the connection at once.
 func (c *conn) breakOff() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -115,7 +129,7 @@
 // close closes the connection after its last response.
 func (c *conn) close() {
 	c.mu.Lock()
-	lingers := c.lingers && !c.broken
+	lingers := c.lingers
 	c.mu.Unlock()
 	c.cancel()
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && lingers && half.CloseWrite() == nil {
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -184,3 +184,29 @@
 		t.Errorf("%d requests, %d recorded as sent", ended.Load(), n)
 	}
 }
+
+// A client that reads late must still receive what was complete, though it has sent more
+// than the server will read.
+func TestAbortDoesNotDropResponsesOnTheirWay(t *testing.T) {
+	const large = 300_000
+	s := newTestServer(t, func(c *pipeline.Config) {
+		c.MaxDepth = 2
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/2" {
+				panic(http.ErrAbortHandler)
+			}
+			time.Sleep(50 * time.Millisecond)
+			_, _ = io.WriteString(w, strings.Repeat("x", large))
+		})
+	})
+	c := s.dial(t)
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	c.send(get("/1"), get("/2"), strings.Repeat(get("/3"), 1000))
+	time.Sleep(200 * time.Millisecond)
+	if _, body := c.receive(); len(body) != large {
+		t.Errorf("%d bytes of the first response", len(body))
+	}
+	c.wantEnd()
+}
--- a/transport/pipeline/queue.go
+++ b/transport/pipeline/queue.go
@@ -46,14 +46,11 @@
 	}
 	<-r.turn
 	sent := completed && r.finish() == nil
-	if !sent && !c.isBroken() {
-		_ = c.bw.Flush() // Responses before this one may still be buffered. The connection ends anyway.
-	}
 	if !completed && c.ctx.Err() == nil {
 		c.server.cfg.Metrics.ConnectionEnded(reasonAborted)
 	}
-	if !sent {
-		c.breakOff()
+	if !sent && !c.isBroken() {
+		c.endAfterIncomplete(r)
 	}
 	if r.body != nil {
 		c.limitDiscard(r.body)
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -212,6 +212,12 @@
 	return nil
 }
 
+// endsWithConnection reports whether only the end of the connection tells the client that
+// the response is complete. To reset it is then the only way to show that it is not.
+func (r *response) endsWithConnection() bool {
+	return r.headSent && r.length < 0 && !r.chunked && r.hasBody()
+}
+
 // hasBody reports whether the response is sent with a body, which may be empty.
 func (r *response) hasBody() bool {
 	return r.req.Method != http.MethodHead && bodyAllowed(r.status)
