pipeline: an aborted response that only the end tells is reset

The end of the connection tells a client of HTTP/1.0 that a response without a length is complete. An aborted one ended like any other. It is reset now, which cannot be taken for its end.

--- a/transport/pipeline/ending.go
+++ b/transport/pipeline/ending.go
@@ -99,6 +99,9 @@
 // Those before it may still be buffered, here or in the system.
 func (c *conn) endAfterIncomplete(r *response) {
 	if r.endsWithConnection() {
+		if tcp, ok := c.nc.(interface{ SetLinger(sec int) error }); ok {
+			_ = tcp.SetLinger(0) // Fails only for a closed connection.
+		}
 		c.breakOff()
 		return
 	}
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -210,3 +210,18 @@
 	}
 	c.wantEnd()
 }
+
+// The end of the connection tells the client of HTTP/1.0 that a response is complete.
+func TestAbortedResponseWithoutLengthIsReset(t *testing.T) {
+	s := newTestServer(t, func(c *pipeline.Config) {
+		c.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", 9000))
+			panic(http.ErrAbortHandler)
+		})
+	})
+	c := s.dial(t)
+	c.send("GET /1 HTTP/1.0\r\n\r\n")
+	if received, err := io.ReadAll(c.Conn); err == nil {
+		t.Errorf("%d bytes look complete", len(received))
+	}
+}
