ingress: a wait for one's turn is recorded and counted as behind others

A request that may run once, or has a body, begins alone, so its record had no position, and one that was late for its wait counted as slow. The wait is recorded from 1 ms on, and what would have been in time without it counts as late behind others.

TestTimeOfRequestCountsFromReceipt checks both; in its first form it found the position empty.

--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -242,7 +242,9 @@
 	writer    http.ResponseWriter
 	id        string
 	arrivedAt time.Time
-	route     *route.Route
+	// waited is the time from arrivedAt until the request began.
+	waited time.Duration
+	route  *route.Route
 	// workspace is the workspace of the request, or nil if none was identified.
 	workspace *workspace.Workspace
 	admission Admission
--- a/transport/ingress/losses.go
+++ b/transport/ingress/losses.go
@@ -143,6 +143,8 @@
 		return ""
 	case reason != reasonAnswered:
 		return reason
+	case q.elapsed(q.arrivedAt.Add(q.waited)) < q.objective():
+		return causeHeld
 	case len(q.tried) > 1:
 		return causeRetried
 	case q.keyNewToWorker:
--- a/transport/ingress/pipelined.go
+++ b/transport/ingress/pipelined.go
@@ -10,10 +10,13 @@
 	"github.com/ryehill/ryehill/transport/pipeline"
 )
 
-// causeHeld means that the response was ready in time, but waited for the response to an
-// earlier request of its connection.
+// causeHeld means that the request would have been in time, had it or its response not
+// waited for earlier requests of its connection.
 const causeHeld = "late: behind others on its connection"
 
+// minRecordedWait is the shortest wait for a turn that is recorded.
+const minRecordedWait = time.Millisecond
+
 // recordPosition records where a request stood on its connection, if it was sent before
 // earlier ones were answered. Its time counts from its arrival, not from its turn to begin.
 func (q *request) recordPosition() {
@@ -21,8 +24,8 @@
 	if !ok {
 		return
 	}
-	q.arrivedAt = q.arrivedAt.Add(-position.Waited)
-	if position.Ahead > 0 {
+	q.arrivedAt, q.waited = q.arrivedAt.Add(-position.Waited), position.Waited
+	if position.Ahead > 0 || position.Waited >= minRecordedWait {
 		q.addInput("position on its connection", fmt.Sprintf("behind %d, began after %d ms", position.Ahead, position.Waited.Milliseconds()))
 	}
 	pipeline.OnSent(q.req.Context(), q.recordHeld)
--- a/transport/ingress/pipelined_test.go
+++ b/transport/ingress/pipelined_test.go
@@ -210,8 +210,13 @@
 		if left := f.waits["2"]; left <= 0 || left > 1750 {
 			t.Errorf("the worker was told that %d ms are left", left)
 		}
-		if position := input(f.awaitRecord(t, "2", "late"), "position on its connection"); position != "" {
-			t.Errorf("a request that began alone has position %q", position)
+		var ahead, ms int
+		position := input(f.awaitRecord(t, "2", "late"), "position on its connection")
+		if _, err := fmt.Sscanf(position, "behind %d, began after %d ms", &ahead, &ms); err != nil || ahead != 0 || ms < 250 {
+			t.Errorf("a request that waited for its turn has position %q", position)
+		}
+		if lost := f.handler.CollectLosses(); lost[causeBehindOthers] != 1 {
+			t.Errorf("counted %v", lost)
 		}
 	})
 	t.Run("nothing left", func(t *testing.T) {
