pipeline: a client that waits for each response does not count as sending ahead

Its next request can be read before the response to the last has left the queue, so it counted in ryehill_pipelined_ahead and bore a position in its record. A response whose last bytes are being sent no longer counts as ahead.

TestClientThatWaitsIsNotCountedAsSendingAhead: red in one of three plays of 5,000 requests before, green in three and in one with -race. A response whose last write goes past the buffer can still be counted.

--- a/transport/pipeline/bounds_test.go
+++ b/transport/pipeline/bounds_test.go
@@ -294,3 +294,19 @@
 		}
 	}
 }
+
+// A client that waits for each response must not be counted as one that sends ahead, though
+// its next request may arrive before the server has done with the last.
+func TestClientThatWaitsIsNotCountedAsSendingAhead(t *testing.T) {
+	const requests = 5000
+	m := &largest{}
+	s := newTestServer(t, func(c *pipeline.Config) { c.Metrics = m })
+	c := s.dial(t)
+	for range requests {
+		c.send(get("/1"))
+		c.want(http.StatusOK, "/1")
+	}
+	if ahead := m.ahead.Load(); ahead > 0 {
+		t.Errorf("a request was counted behind %d others", ahead)
+	}
+}
--- a/transport/pipeline/queue.go
+++ b/transport/pipeline/queue.go
@@ -24,12 +24,16 @@
 
 // push adds a request to queue. mu is held.
 func (c *conn) push(r *response) {
-	r.position = Position{Ahead: len(c.queue), Waited: time.Since(r.receivedAt)}
-	if len(c.queue) == 0 {
-		r.turn = closedChannel
-	} else {
+	r.turn = closedChannel
+	ahead := len(c.queue)
+	if ahead > 0 {
 		r.turn = make(chan struct{})
-		c.server.cfg.Metrics.PipelinedRequest(len(c.queue))
+		if c.queue[0].sending {
+			ahead-- // The client may have its response already.
+		}
+	}
+	if r.position = (Position{Ahead: ahead, Waited: time.Since(r.receivedAt)}); ahead > 0 {
+		c.server.cfg.Metrics.PipelinedRequest(ahead)
 	}
 	r.ctx, r.cancel = context.WithCancel(context.WithValue(c.ctx, responseKey{}, r))
 	c.queue = append(c.queue, r)
@@ -91,11 +95,12 @@
 	}
 }
 
-// nextIsReady reports whether the response behind the first one is complete, so that both
-// can be sent together.
-func (c *conn) nextIsReady() bool {
+// startSending marks the first response, whose last bytes are about to be sent. It reports
+// whether the next one is complete, so that both can be sent together.
+func (c *conn) startSending(r *response) (nextIsReady bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.sending = true
 	return len(c.queue) > 1 && c.queue[1].ready
 }
 
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -55,6 +55,8 @@
 	turn chan struct{}
 	// ready is set once the handler has returned without aborting. It is guarded by conn.mu.
 	ready bool
+	// sending is set once the last bytes are about to be sent. It is guarded by conn.mu.
+	sending bool
 	// countsBehind is set if the request has a unit of the limit of requests behind others.
 	// It is guarded by conn.mu.
 	countsBehind bool
@@ -204,7 +206,7 @@
 			return err
 		}
 	}
-	if !r.conn.nextIsReady() {
+	if !r.conn.startSending(r) {
 		if err := r.conn.bw.Flush(); err != nil {
 			return err
 		}
