--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -55,6 +55,8 @@
 	turn chan struct{}
 	// ready is set once the handler has returned without aborting. It is guarded by conn.mu.
 	ready bool
+	// sending is set once the last bytes are about to be sent. It is guarded by conn.mu.
+	sending bool
 	// countsBehind is set if the request has a unit of the limit of requests behind others.
 	// It is guarded by conn.mu.
 	countsBehind bool
@@ -204,7 +206,7 @@
 			return err
 		}
 	}
-	if !r.conn.nextIsReady() {
+	if !r.conn.startSending(r) {
 		if err := r.conn.bw.Flush(); err != nil {
 			return err
 		}
@@ -212,6 +214,12 @@
 	return nil
 }
 
+// endsWithConnection reports whether only the end of the connection tells the client that
+// the response is complete. To reset it is then the only way to show that it is not.
+func (r *response) endsWithConnection() bool {
+	return r.headSent && r.length < 0 && !r.chunked && r.hasBody()
+}
+
 // hasBody reports whether the response is sent with a body, which may be empty.
 func (r *response) hasBody() bool {
 	return r.req.Method != http.MethodHead && bodyAllowed(r.status)
