--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -289,3 +289,6 @@
 
 // ConnectionLimit is connectionLimit.
 func ConnectionLimit(descriptors int) int { return connectionLimit(descriptors) }
+
+// IsClosed reports whether the snapshot in use has a hall as closed.
+func (g *Gateway) IsClosed(hall string) bool { return g.snapshot.Load().Closed[hall] }
