rollout: warm-up responses do not hide slow canary workers

The slowness scores now take the responses of canary workers alone; failures are counted as before.

The splitter takes its source of random numbers from its configuration, so that a seed of the model gives the same play each time.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -173,11 +173,19 @@
 	return Finding{}, false
 }
 
+// routeDelta holds the responses of the new version on a route since the last call.
+type routeDelta struct {
+	rollout.Tally
+	// canary counts the responses of canary workers, the only ones that are checked for
+	// slowness.
+	canary uint32
+}
+
 // takeDeltas returns the responses since the last call by route, without those of outlier
 // workers.
-func (a *Analyzer) takeDeltas(r *rollout.Report) map[string]rollout.Tally {
+func (a *Analyzer) takeDeltas(r *rollout.Report) map[string]routeDelta {
 	excluded := outliersByRoute(r)
-	deltas := make(map[string]rollout.Tally)
+	deltas := make(map[string]routeDelta)
 	for key, t := range r.New {
 		delta := t.Delta(a.counted[key])
 		a.counted[key] = t
@@ -190,6 +198,9 @@
 			}
 			sum := deltas[route]
 			sum.Add(delta)
+			if key.Worker != "" {
+				sum.canary += delta.Ended
+			}
 			deltas[route] = sum
 		}
 	}
@@ -202,7 +213,7 @@
 
 // takeColdRuns estimates how many slow responses in delta were caused by first runs of keys,
 // and deducts them from the budget.
-func (a *Analyzer) takeColdRuns(r *rollout.Report, delta rollout.Tally) float64 {
+func (a *Analyzer) takeColdRuns(r *rollout.Report, delta routeDelta) float64 {
 	keys := r.Keys.Count()
 	a.coldBudget += (1 + a.timing.Overlap) * max(keys-a.keys, 0)
 	a.keys = max(keys, a.keys)
@@ -253,7 +264,7 @@
 func badRate(t rollout.Tally) float64 { return float64(t.Failed+t.Slow) / float64(t.Ended) }
 
 // analyzedRoutes returns the routes to analyze, those with the most responses first.
-func analyzedRoutes(deltas map[string]rollout.Tally) []string {
+func analyzedRoutes(deltas map[string]routeDelta) []string {
 	routes := slices.Collect(maps.Keys(deltas))
 	slices.SortFunc(routes, func(a, b string) int {
 		return cmp.Or(cmp.Compare(deltas[b].Ended, deltas[a].Ended), cmp.Compare(b, a))
@@ -269,13 +280,13 @@
 	return sum
 }
 
-func slowRatio(part, all rollout.Tally) float64 {
+func slowRatio(part, all routeDelta) float64 {
 	return float64(part.Slow) / max(float64(all.Slow), 1)
 }
 
 // add updates the scores of a route, excluding slow responses explained by first runs. It
 // reports whether the version is bad, and whether because it is slow.
-func (s *routeScores) add(delta rollout.Tally, old *decayingTally, coldRuns float64) (slow, bad bool) {
+func (s *routeScores) add(delta routeDelta, old *decayingTally, coldRuns float64) (slow, bad bool) {
 	ended, failed := float64(delta.Ended), float64(delta.Failed)
 	tolerated := toleratedRate(old.failed, old.ended, failureTolerance)
 	for i, increase := range failureIncreases {
@@ -283,7 +294,7 @@
 			return false, true
 		}
 	}
-	ended -= coldRuns
+	ended = max(float64(delta.canary)-coldRuns, 0)
 	slowed := min(max(float64(delta.Slow)-coldRuns, 0), ended)
 	tolerated = toleratedRate(old.slow, old.ended, slowTolerance)
 	for i, increase := range slowIncreases {
--- a/coordination/rollout/model_test.go
+++ b/coordination/rollout/model_test.go
@@ -93,7 +93,7 @@
 		order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration},
 	}
 	for range vms {
-		m.vms = append(m.vms, rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: m.share, Now: func() time.Time { return m.now }}))
+		m.vms = append(m.vms, rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: m.share, Now: func() time.Time { return m.now }, Random: m.random.Float64}))
 	}
 	m.decider = rolling.NewDecider(rolling.DeciderConfig{Order: m.order})
 	for k := range m.keys {
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -42,6 +42,9 @@
 	// version before it is proved, 0 to 1.
 	MaxFraction float64
 	Now         func() time.Time
+	// Random returns random numbers from 0 to 1, rand.Float64 by default. Calls are
+	// serialized.
+	Random func() float64
 }
 
 // Splitter splits one VM's requests between the old and the new version during a rollout and
@@ -66,7 +69,10 @@
 
 // NewSplitter returns a splitter that has received no step.
 func NewSplitter(cfg SplitterConfig) *Splitter {
-	return &Splitter{cfg: cfg, start: rand.Float64(), report: rollout.NewReport(), inFlight: make(map[*Attempt]struct{})}
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
+	return &Splitter{cfg: cfg, start: cfg.Random(), report: rollout.NewReport(), inFlight: make(map[*Attempt]struct{})}
 }
 
 // Version returns the version that is rolled out.
@@ -138,7 +144,7 @@
 		if inFraction(key, s.cfg.Version, max(s.step.CanaryFractions[route], worker.CanaryFraction)) {
 			return worker.TrackCanary
 		}
-		if s.step.WarmUp && rand.Float64() < warmUpFraction {
+		if s.step.WarmUp && s.cfg.Random() < warmUpFraction {
 			return worker.TrackNew
 		}
 	case rollout.PhaseShift:
