rollout: a route with few canary keys gets more of them

The part of a route's keys in the trial grew only while none of them answered. It doubles now when the responses are less than 0.4 of those expected of that part, and the route's slowness counts again when the new keys have run, as their first runs are slow with any version. The VM's own share bounds the sum as before.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -83,7 +83,7 @@
 
 // routeScores holds the CUSUM scores of one route.
 type routeScores struct {
-	// since is when the first response arrived.
+	// since is when the first response arrived, or the canary keys last grew.
 	since  time.Time
 	failed [len(failureIncreases)]float64
 	slow   [len(slowIncreases)]float64
@@ -211,6 +211,13 @@
 // first run of a key.
 func (a *Analyzer) SetTiming(timing Timing) { a.timing = timing }
 
+// Resettle ignores slow responses on a route until its new canary keys have run.
+func (a *Analyzer) Resettle(route string, now time.Time) {
+	if scores, ok := a.routes[route]; ok {
+		scores.since = now
+	}
+}
+
 // takeColdRuns estimates how many slow responses in delta were caused by first runs of keys,
 // and deducts them from the budget.
 func (a *Analyzer) takeColdRuns(r *rollout.Report, delta routeDelta) float64 {
--- /dev/null
+++ b/coordination/rollout/canary.go
@@ -0,0 +1,61 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"github.com/ryehill/ryehill/state/rollout"
+	"github.com/ryehill/ryehill/state/worker"
+)
+
+const (
+	// maxCanaryFraction bounds the fraction of a route's keys in the trial. The fraction
+	// doubles every second while the route has no response from the new version.
+	maxCanaryFraction = 0.3
+	// minCanaryTraffic is the minimum fraction of the responses expected of a route's
+	// canary keys; with fewer, the fraction of its keys doubles.
+	minCanaryTraffic = 0.4
+	// minExpectedResponses is the number of expected responses from which on the
+	// responses of a route are compared with them.
+	minExpectedResponses = 2 * minResponses
+)
+
+// canaryRoute is the fraction of a route's keys in the trial.
+type canaryRoute struct {
+	fraction float64
+	// since is when the fraction last changed, and old and tried the responses of both
+	// versions by then.
+	since      time.Time
+	old, tried uint32
+}
+
+// grow doubles the fraction if the keys in it have too little traffic, and reports whether
+// it did so. firstRun is the latency of a key's first request, before which a new key has
+// no response.
+func (c *canaryRoute) grow(now, trialSince time.Time, old, tried rollout.Tally, firstRun time.Duration) bool {
+	if tried.Ended == 0 {
+		grown := worker.CanaryFraction * math.Exp2(now.Sub(trialSince).Seconds()-1)
+		c.change(now, min(max(grown, worker.CanaryFraction), maxCanaryFraction), old, tried)
+		return false
+	}
+	elapsed := now.Sub(c.since)
+	if elapsed <= firstRun || old.Ended < c.old || tried.Ended < c.tried {
+		return false
+	}
+	responded := float64(elapsed-firstRun) / float64(elapsed)
+	expected := worker.CanaryFraction * float64(old.Ended-c.old) * responded
+	if expected < minExpectedResponses || float64(tried.Ended-c.tried) >= minCanaryTraffic*expected {
+		return false
+	}
+	c.change(now, min(2*c.fraction, maxCanaryFraction), old, tried)
+	return true
+}
+
+func (c *canaryRoute) change(now time.Time, fraction float64, old, tried rollout.Tally) {
+	if fraction != c.fraction {
+		c.fraction, c.since, c.old, c.tried = fraction, now, old.Ended, tried.Ended
+	}
+}
--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -81,9 +81,6 @@
 	// coldFactor is the latency of a key's first request at a worker, as a multiple of
 	// the typical latency.
 	coldFactor = 4
-	// maxCanaryFraction bounds the fraction of a route's keys in the trial. The fraction
-	// doubles every second while the route has no response from the new version.
-	maxCanaryFraction = 0.3
 	// slowFactor is the multiple of the old version's typical latency from which on a
 	// request counts as slow.
 	slowFactor = 2.0
@@ -148,16 +145,15 @@
 	peakAt time.Time
 	// closed is set once old workers get no more requests, and stays set.
 	closed bool
-	// canaryFractions are the fractions of keys by route, where they differ from the
-	// default canary fraction.
-	canaryFractions map[string]float64
+	// canaries holds the keys in the trial by route.
+	canaries map[string]*canaryRoute
 }
 
 // NewDecider returns a decider for an order that has not been started.
 func NewDecider(cfg DeciderConfig) *Decider {
 	ordered, trial, shift := rollout.PhaseOrdered.String(), rollout.PhaseTrial.String(), rollout.PhaseShift.String()
 	proved, completed, rolledBack := rollout.PhaseProved.String(), rollout.PhaseCompleted.String(), rollout.PhaseRolledBack.String()
-	return &Decider{cfg: cfg, canaryFractions: make(map[string]float64), reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
+	return &Decider{cfg: cfg, canaries: make(map[string]*canaryRoute), reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
 		{Name: eventStartTrial, Src: []string{ordered}, Dst: trial},
 		{Name: eventShift, Src: []string{ordered, trial}, Dst: shift},
 		{Name: eventProve, Src: []string{ordered, trial, shift}, Dst: proved},
@@ -205,7 +201,7 @@
 	}
 	return Step{
 		Phase: d.Phase(), WarmUp: d.Phase() == rollout.PhaseTrial && in.TimeLeft < drain+warmUpLead,
-		SlowAfter: slowThresholds(in.Report.Old), CanaryFractions: d.growCanaries(in), Closed: d.closed, Reason: d.reason,
+		SlowAfter: slowThresholds(in.Report.Old), CanaryFractions: d.growCanaries(in, latency), Closed: d.closed, Reason: d.reason,
 	}
 }
 
@@ -265,9 +261,9 @@
 	}
 }
 
-// growCanaries returns a larger fraction of the keys for each route that has traffic but
-// none of it in the trial, since a version may be bad on that route only.
-func (d *Decider) growCanaries(in Inputs) map[string]float64 {
+// growCanaries returns a larger fraction of the keys for each route that has too little of
+// its traffic in the trial, since a version may be bad on that route only.
+func (d *Decider) growCanaries(in Inputs, latency time.Duration) map[string]float64 {
 	if d.Phase() != rollout.PhaseTrial {
 		return nil
 	}
@@ -277,17 +273,21 @@
 		if float64(old.Ended) < minResponses/worker.CanaryFraction {
 			continue
 		}
-		if d.canaryFractions[route] == 0 && responses[route].Ended > 0 {
-			continue
+		c, ok := d.canaries[route]
+		if !ok {
+			c = &canaryRoute{fraction: worker.CanaryFraction, since: d.trialSince}
+			d.canaries[route] = c
+		}
+		if c.grow(in.Now, d.trialSince, old, responses[route], coldFactor*latency) {
+			d.analyzer.Resettle(route, in.Now)
 		}
-		if responses[route].Ended == 0 {
-			grown := worker.CanaryFraction * math.Exp2(in.Now.Sub(d.trialSince).Seconds()-1)
-			d.canaryFractions[route] = min(max(grown, worker.CanaryFraction), maxCanaryFraction)
+		if c.fraction == worker.CanaryFraction {
+			continue
 		}
 		if fractions == nil {
 			fractions = make(map[string]float64)
 		}
-		fractions[route] = d.canaryFractions[route]
+		fractions[route] = c.fraction
 	}
 	return fractions
 }
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Guards against proving a version that is slow on a route with a single canary key.
+func TestRouteGetsEnoughCanaryKeys(t *testing.T) {
+	const seedWithOneKey = 45
+	m := newModel(seedWithOneKey, 26)
+	m.fault = &fault{fraction: 0.6, slowdown: 5, route: "/2/"}
+	m.run()
+	if m.phase != rollout.PhaseRolledBack {
+		t.Errorf("%s after %s: %s", m.phase, m.done, m.reason)
+	}
+	if over := m.excess(); over > 0 {
+		t.Errorf("the new version got %.0f requests more than its share of %d", over, m.requests)
+	}
+}
+
 // Guards against an unproved version getting more than its share of one VM's requests.
 func TestSplitterStaysWithinShare(t *testing.T) {
 	now := time.Unix(1000, 0)
