rollout: the model of rollouts is shared with experiments

The three ways of bringing in a version (steps with a fixed watch, growing with evidence, late and all at once) were compared by argument only. The model moves from the test files to coordination/rollout/rolloutmodel, and `ryehill-load experiment rollout` plays the ways on the same seeds for 26, 88, 295 and 985 VMs. The growing ways are judged by the same analyzer; slow answers after each growth are taken for first runs. Tests keep their cases and checks, with the model's exported names.

--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	rolling "github.com/ryehill/ryehill/coordination/rollout"
+	"github.com/ryehill/ryehill/coordination/rollout/rolloutmodel"
 	"github.com/ryehill/ryehill/state/rollout"
 	"github.com/ryehill/ryehill/state/worker"
 )
@@ -20,27 +21,27 @@
 
 // Guards against rolling back a good version, missing the deadline, or ending busy workers.
 func TestGoodVersionsAreCompletedInTime(t *testing.T) {
-	for name, change := range map[string]func(*model){
-		"steady":                    func(*model) {},
-		"failures in both versions": func(m *model) { m.baseFailures = 0.08 },
-		"few requests":              func(m *model) { m.rate = 60 },
-		"many keys":                 func(m *model) { m.keys, m.slots = 4000, 3*modelSlots },
+	for name, change := range map[string]func(*rolloutmodel.Model){
+		"steady":                    func(*rolloutmodel.Model) {},
+		"failures in both versions": func(m *rolloutmodel.Model) { m.BaseFailures = 0.08 },
+		"few requests":              func(m *rolloutmodel.Model) { m.Rate = 60 },
+		"many keys":                 func(m *rolloutmodel.Model) { m.Keys, m.Slots = 4000, 3*rolloutmodel.Slots },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			rolledBack, late := 0, 0
 			for seed := range uint64(*seeds) {
-				m := newModel(seed, 26)
+				m := rolloutmodel.New(seed, 26)
 				change(m)
-				m.run()
-				if m.phase != rollout.PhaseCompleted {
+				m.Run()
+				if m.Phase != rollout.PhaseCompleted {
 					rolledBack++
-					t.Logf("seed %d: %s after %s: %s", seed, m.phase, m.done, m.reason)
+					t.Logf("seed %d: %s after %s: %s", seed, m.Phase, m.Ended, m.Reason)
 				}
-				if m.inFlightAtEnd > 0 {
-					t.Errorf("seed %d: %d requests were under way at old workers", seed, m.inFlightAtEnd)
+				if m.InFlightAtEnd > 0 {
+					t.Errorf("seed %d: %d requests were under way at old workers", seed, m.InFlightAtEnd)
 				}
-				if m.done > modelDuration {
+				if m.Ended > rolloutmodel.Duration {
 					late++
 				}
 			}
@@ -53,32 +54,32 @@
 
 // Guards against keeping a bad version, and against giving it more than its share.
 func TestBadVersionsAreRolledBack(t *testing.T) {
-	for name, f := range map[string]fault{
-		"fails at once":           {fraction: 0.3},
-		"fails sometimes":         {fraction: 0.1},
-		"all fail":                {fraction: 1},
-		"fails later":             {fraction: 0.3, start: 7 * time.Second},
-		"fails under load":        {fraction: 0.3, underLoad: true},
-		"fails on one route":      {fraction: 0.3, route: "/1/"},
-		"slow at once":            {fraction: 0.5, slowdown: 4},
-		"slow later":              {fraction: 0.5, slowdown: 5, start: 6 * time.Second},
-		"slow on one route":       {fraction: 0.6, slowdown: 5, route: "/2/"},
-		"all slow":                {fraction: 1, slowdown: 3},
-		"fails just before shift": {fraction: 0.4, start: 10 * time.Second},
+	for name, f := range map[string]rolloutmodel.Fault{
+		"fails at once":           {Fraction: 0.3},
+		"fails sometimes":         {Fraction: 0.1},
+		"all fail":                {Fraction: 1},
+		"fails later":             {Fraction: 0.3, Start: 7 * time.Second},
+		"fails under load":        {Fraction: 0.3, UnderLoad: true},
+		"fails on one route":      {Fraction: 0.3, Route: "/1/"},
+		"slow at once":            {Fraction: 0.5, Slowdown: 4},
+		"slow later":              {Fraction: 0.5, Slowdown: 5, Start: 6 * time.Second},
+		"slow on one route":       {Fraction: 0.6, Slowdown: 5, Route: "/2/"},
+		"all slow":                {Fraction: 1, Slowdown: 3},
+		"fails just before shift": {Fraction: 0.4, Start: 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			missed := 0
 			for seed := range uint64(*seeds) {
-				m := newModel(seed, 26)
-				m.fault = &f
-				m.run()
-				if m.phase != rollout.PhaseRolledBack || m.done > modelDuration {
+				m := rolloutmodel.New(seed, 26)
+				m.Fault = &f
+				m.Run()
+				if m.Phase != rollout.PhaseRolledBack || m.Ended > rolloutmodel.Duration {
 					missed++
-					t.Logf("seed %d: %s after %s: %s", seed, m.phase, m.done, m.reason)
+					t.Logf("seed %d: %s after %s: %s", seed, m.Phase, m.Ended, m.Reason)
 				}
-				if over := m.excess(); over > 0 {
-					t.Errorf("seed %d: the new version got %.0f requests more than its share of %d", seed, over, m.requests)
+				if over := m.Excess(); over > 0 {
+					t.Errorf("seed %d: the new version got %.0f requests more than its share of %d", seed, over, m.Requests)
 				}
 			}
 			if missed > 0 {
@@ -91,14 +92,14 @@
 // Guards against proving a version that is slow on a route with a single canary key.
 func TestRouteGetsEnoughCanaryKeys(t *testing.T) {
 	const seedWithOneKey = 45
-	m := newModel(seedWithOneKey, 26)
-	m.fault = &fault{fraction: 0.6, slowdown: 5, route: "/2/"}
-	m.run()
-	if m.phase != rollout.PhaseRolledBack {
-		t.Errorf("%s after %s: %s", m.phase, m.done, m.reason)
+	m := rolloutmodel.New(seedWithOneKey, 26)
+	m.Fault = &rolloutmodel.Fault{Fraction: 0.6, Slowdown: 5, Route: "/2/"}
+	m.Run()
+	if m.Phase != rollout.PhaseRolledBack {
+		t.Errorf("%s after %s: %s", m.Phase, m.Ended, m.Reason)
 	}
-	if over := m.excess(); over > 0 {
-		t.Errorf("the new version got %.0f requests more than its share of %d", over, m.requests)
+	if over := m.Excess(); over > 0 {
+		t.Errorf("the new version got %.0f requests more than its share of %d", over, m.Requests)
 	}
 }
 
@@ -180,7 +181,7 @@
 		So(falls(), ShouldBeFalse)
 	})
 	Convey("The order waits while many requests are in flight at old workers", t, func() {
-		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: rolloutmodel.Duration}})
 		r := rollout.NewReport()
 		r.VMs[rollout.PhaseProved], r.InFlightOld, r.InFlightNew = 9, 20, 100
 		in := rolling.Inputs{Now: time.Unix(1000, 0), TimeLeft: time.Second, Report: r, VMs: 9, Slots: 90}
@@ -196,7 +197,7 @@
 // Guards against completing an order while a live VM has not reported.
 func TestVMsThatAreNotReached(t *testing.T) {
 	Convey("An order waits for a live VM that does not answer", t, func() {
-		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: rolloutmodel.Duration}})
 		r := rollout.NewReport()
 		r.VMs[rollout.PhaseProved] = 9
 		now := time.Unix(1000, 0)
@@ -209,17 +210,17 @@
 		So(d.Decide(rolling.Inputs{Now: now, TimeLeft: time.Second, Report: r, VMs: 9, Slots: 9}).Phase, ShouldEqual, rollout.PhaseCompleted)
 	})
 	Convey("A decider adopts the decisions of another one", t, func() {
-		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: rolloutmodel.Duration}})
 		r := rollout.NewReport()
 		r.VMs[rollout.PhaseProved], r.VMs[rollout.PhaseRolledBack] = 5, 1
 		step := d.Decide(rolling.Inputs{Now: time.Unix(1000, 0), TimeLeft: time.Second, Report: r, VMs: 6, Slots: 9})
 		So(step.Phase, ShouldEqual, rollout.PhaseRolledBack)
 	})
 	Convey("The shift waits until the new workers have capacity for the recent peak", t, func() {
-		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: rolloutmodel.Duration}})
 		r := rollout.NewReport()
 		r.VMs[rollout.PhaseTrial], r.InFlightOld = 6, 100
-		in := rolling.Inputs{Now: time.Unix(1000, 0), TimeLeft: modelDuration, Report: r, VMs: 6, Slots: 90}
+		in := rolling.Inputs{Now: time.Unix(1000, 0), TimeLeft: rolloutmodel.Duration, Report: r, VMs: 6, Slots: 90}
 		d.Decide(in)
 		in.Now, in.TimeLeft, in.Report.InFlightOld = in.Now.Add(10*time.Second), time.Second, 50
 		in.Slots = 60
@@ -230,7 +231,7 @@
 		So(d.Decide(in).Phase, ShouldEqual, rollout.PhaseShift)
 	})
 	Convey("The trial waits for workers of the new version", t, func() {
-		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: modelDuration}})
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: rolloutmodel.Duration}})
 		r := rollout.NewReport()
 		So(d.Decide(rolling.Inputs{Now: time.Unix(1000, 0), TimeLeft: time.Second, Report: r, VMs: 6}).Phase, ShouldEqual, rollout.PhaseOrdered)
 	})
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -31,6 +31,7 @@
 	"lending":  lending,
 	"limits":   limits,
 	"rests":    rests,
+	"rollout":  rollouts,
 	"stop":     stopping,
 	"steps":    steps,
 	"scale":    scale,
