rollout: the shift waits for responses of its own

The 30 responses that the shift waits for were counted since the order, so those of the trial were enough, and after 1 s no request of the shift at a cold key had ended. They are counted since the shift began, which lasts as long as the first run of a key, four typical requests, 1 to 2 s. When it begins stays the same: the time to drain had room for it.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -140,6 +140,8 @@
 	// phaseSince is when the phase began, trialSince when the trial began.
 	phaseSince, trialSince time.Time
 	reason                 string
+	// trialResponses is the number of the new version's responses before the shift.
+	trialResponses uint32
 	// peak is the decaying maximum of the requests in flight.
 	peak   float64
 	peakAt time.Time
@@ -186,6 +188,9 @@
 	}
 	drain := d.drainTime(latency)
 	d.updatePeak(in)
+	if d.Phase() < rollout.PhaseShift {
+		d.trialResponses = total(in.Report.NewByRoute()).Ended
+	}
 	switch d.Phase() {
 	case rollout.PhaseOrdered:
 		if in.Slots > 0 {
@@ -194,7 +199,7 @@
 	case rollout.PhaseTrial:
 		d.checkTrial(in, drain)
 	case rollout.PhaseShift:
-		d.checkShift(in)
+		d.checkShift(in, shiftTime(latency))
 	case rollout.PhaseProved:
 		d.checkDrain(in)
 	default: // final
@@ -292,11 +297,17 @@
 	return fractions
 }
 
+// shiftTime returns the minimum time in the shift, in which the first run of a key that is
+// sent at its start can fail.
+func shiftTime(latency time.Duration) time.Duration {
+	return min(max(coldFactor*latency, minShift), maxShift)
+}
+
 // checkShift proves the version after enough time and responses in the shift.
-func (d *Decider) checkShift(in Inputs) {
+func (d *Decider) checkShift(in Inputs, shortest time.Duration) {
 	elapsed := in.Now.Sub(d.phaseSince)
-	responses := int(total(in.Report.NewByRoute()).Ended)
-	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift {
+	responses := int(total(in.Report.NewByRoute()).Ended) - int(d.trialResponses)
+	if elapsed < shortest || responses < minShiftResponses && elapsed < maxShift {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
 	}
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// Guards against proving a version by the responses of the trial alone.
+func TestShiftWaitsForItsOwnResponses(t *testing.T) {
+	const vmsWithFewRequests = 985
+	for seed := range uint64(5) {
+		m := rolloutmodel.New(seed, vmsWithFewRequests)
+		m.Fault = &rolloutmodel.Fault{Fraction: 0.3, UnderLoad: true}
+		m.Run()
+		if m.Phase != rollout.PhaseRolledBack {
+			t.Errorf("seed %d: %s after %s: %s", seed, m.Phase, m.Ended, m.Reason)
+		}
+		if over := m.Excess(); over > 0 {
+			t.Errorf("seed %d: the new version got %.0f requests more than its share of %d", seed, over, m.Requests)
+		}
+	}
+}
+
 // Guards against proving a version that is slow on a route with a single canary key.
 func TestRouteGetsEnoughCanaryKeys(t *testing.T) {
 	const seedWithOneKey = 45
