--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -89,6 +89,37 @@
 	}
 }
 
+// Guards against deciders that depend on what only an earlier one knew.
+func TestDecidersTakeOverInEachPhase(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault *rolloutmodel.Fault
+		want  rollout.Phase
+	}{
+		"good":              {want: rollout.PhaseCompleted},
+		"fails at once":     {fault: &rolloutmodel.Fault{Fraction: 0.3}, want: rollout.PhaseRolledBack},
+		"fails under load":  {fault: &rolloutmodel.Fault{Fraction: 0.3, UnderLoad: true}, want: rollout.PhaseRolledBack},
+		"slow on one route": {fault: &rolloutmodel.Fault{Fraction: 0.6, Slowdown: 5, Route: "/2/"}, want: rollout.PhaseRolledBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(*seeds) {
+				m := rolloutmodel.New(seed, 26)
+				m.Fault, m.ReplaceDecider = c.fault, true
+				m.Run()
+				if m.Phase != c.want || m.Ended > rolloutmodel.Duration {
+					t.Errorf("seed %d: %s after %s: %s", seed, m.Phase, m.Ended, m.Reason)
+				}
+				if over := m.Excess(); c.fault != nil && over > 0 {
+					t.Errorf("seed %d: the new version got %.0f requests more than its share of %d", seed, over, m.Requests)
+				}
+				if c.fault == nil && m.InFlightAtEnd > 0 {
+					t.Errorf("seed %d: %d requests were under way at old workers", seed, m.InFlightAtEnd)
+				}
+			}
+		})
+	}
+}
+
 // Guards against proving a version by the responses of the trial alone.
 func TestShiftWaitsForItsOwnResponses(t *testing.T) {
 	const vmsWithFewRequests = 985
--- a/coordination/rollout/rolloutmodel/model.go
+++ b/coordination/rollout/rolloutmodel/model.go
@@ -50,6 +50,8 @@
 	BaseFailures float64
 	// Way is how the new version gets its requests.
 	Way Way
+	// ReplaceDecider replaces the decider by a new one after each of its decisions.
+	ReplaceDecider bool
 
 	// Phase is the last phase, with its reason, and Ended when the order ended.
 	Phase  rollout.Phase
@@ -207,6 +209,9 @@
 	}
 	sum.InFlightOld = m.oldInFlight
 	step := m.decider.decide(rolling.Inputs{Now: m.now, TimeLeft: Duration - at, Report: sum, VMs: len(m.vms), Slots: m.Slots})
+	if m.ReplaceDecider && step.Phase != m.Phase {
+		m.decider = m.Way.newDecider()
+	}
 	m.Phase, m.Reason = step.Phase, step.Reason
 	for _, vm := range m.vms {
 		vm.Apply(step)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -286,3 +286,11 @@
 	}
 	return rollout.PhaseOrdered
 }
+
+// RolloutProgress returns the phase of the order for a service as this VM applies it.
+func (g *Gateway) RolloutProgress(service string) rollout.Phase {
+	if o, ok := g.rollouts.byService(service); ok {
+		return o.splitter.Phase()
+	}
+	return rollout.PhaseOrdered
+}
