--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -48,7 +48,7 @@
 	// by then, but failures have.
 	minShift          = time.Second
 	maxShift          = 2 * time.Second
-	minShiftResponses = 30
+	minShiftResponses = 100
 	// drainFactor is the expected time to drain as a multiple of the old version's typical
 	// latency, bounded by minDrain and maxDrain. completionAllowance is the time to learn
 	// that all VMs are drained and to store the result.
@@ -140,8 +140,9 @@
 	// phaseSince is when the phase began, trialSince when the trial began.
 	phaseSince, trialSince time.Time
 	reason                 string
-	// trialResponses is the number of the new version's responses before the shift.
-	trialResponses uint32
+	// trialResponses is shiftedResponses up to a typical latency after the start of the
+	// shift, by when most requests of the trial have ended.
+	trialResponses int
 	// peak is the decaying maximum of the requests in flight.
 	peak   float64
 	peakAt time.Time
@@ -188,8 +189,8 @@
 	}
 	drain := d.drainTime(latency)
 	d.updatePeak(in)
-	if d.Phase() < rollout.PhaseShift {
-		d.trialResponses = total(in.Report.NewByRoute()).Ended
+	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
+		d.trialResponses = shiftedResponses(in.Report)
 	}
 	switch d.Phase() {
 	case rollout.PhaseOrdered:
@@ -199,7 +200,7 @@
 	case rollout.PhaseTrial:
 		d.checkTrial(in, drain)
 	case rollout.PhaseShift:
-		d.checkShift(in, shiftTime(latency))
+		d.checkShift(in)
 	case rollout.PhaseProved:
 		d.checkDrain(in)
 	default: // final
@@ -297,17 +298,22 @@
 	return fractions
 }
 
-// shiftTime returns the minimum time in the shift, in which the first run of a key that is
-// sent at its start can fail.
-func shiftTime(latency time.Duration) time.Duration {
-	return min(max(coldFactor*latency, minShift), maxShift)
+// shiftedResponses returns the number of responses of workers that are not canaries.
+func shiftedResponses(r rollout.Report) int {
+	n := 0
+	for key, t := range r.New {
+		if key.Worker == "" {
+			n += int(t.Ended)
+		}
+	}
+	return n
 }
 
 // checkShift proves the version after enough time and responses in the shift.
-func (d *Decider) checkShift(in Inputs, shortest time.Duration) {
+func (d *Decider) checkShift(in Inputs) {
 	elapsed := in.Now.Sub(d.phaseSince)
-	responses := int(total(in.Report.NewByRoute()).Ended) - int(d.trialResponses)
-	if elapsed < shortest || responses < minShiftResponses && elapsed < maxShift {
+	responses := shiftedResponses(in.Report) - d.trialResponses
+	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
 	}
