--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -48,7 +48,7 @@
 	// by then, but failures have.
 	minShift          = time.Second
 	maxShift          = 2 * time.Second
-	minShiftResponses = 30
+	minShiftResponses = 100
 	// drainFactor is the expected time to drain as a multiple of the old version's typical
 	// latency, bounded by minDrain and maxDrain. completionAllowance is the time to learn
 	// that all VMs are drained and to store the result.
@@ -81,9 +81,6 @@
 	// coldFactor is the latency of a key's first request at a worker, as a multiple of
 	// the typical latency.
 	coldFactor = 4
-	// maxCanaryFraction bounds the fraction of a route's keys in the trial. The fraction
-	// doubles every second while the route has no response from the new version.
-	maxCanaryFraction = 0.3
 	// slowFactor is the multiple of the old version's typical latency from which on a
 	// request counts as slow.
 	slowFactor = 2.0
@@ -143,21 +140,23 @@
 	// phaseSince is when the phase began, trialSince when the trial began.
 	phaseSince, trialSince time.Time
 	reason                 string
+	// trialResponses is shiftedResponses up to a typical latency after the start of the
+	// shift, by when most requests of the trial have ended.
+	trialResponses int
 	// peak is the decaying maximum of the requests in flight.
 	peak   float64
 	peakAt time.Time
 	// closed is set once old workers get no more requests, and stays set.
 	closed bool
-	// canaryFractions are the fractions of keys by route, where they differ from the
-	// default canary fraction.
-	canaryFractions map[string]float64
+	// canaries holds the keys in the trial by route.
+	canaries map[string]*canaryRoute
 }
 
 // NewDecider returns a decider for an order that has not been started.
 func NewDecider(cfg DeciderConfig) *Decider {
 	ordered, trial, shift := rollout.PhaseOrdered.String(), rollout.PhaseTrial.String(), rollout.PhaseShift.String()
 	proved, completed, rolledBack := rollout.PhaseProved.String(), rollout.PhaseCompleted.String(), rollout.PhaseRolledBack.String()
-	return &Decider{cfg: cfg, canaryFractions: make(map[string]float64), reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
+	return &Decider{cfg: cfg, canaries: make(map[string]*canaryRoute), reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
 		{Name: eventStartTrial, Src: []string{ordered}, Dst: trial},
 		{Name: eventShift, Src: []string{ordered, trial}, Dst: shift},
 		{Name: eventProve, Src: []string{ordered, trial, shift}, Dst: proved},
@@ -190,6 +189,9 @@
 	}
 	drain := d.drainTime(latency)
 	d.updatePeak(in)
+	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
+		d.trialResponses = shiftedResponses(in.Report)
+	}
 	switch d.Phase() {
 	case rollout.PhaseOrdered:
 		if in.Slots > 0 {
@@ -205,7 +207,7 @@
 	}
 	return Step{
 		Phase: d.Phase(), WarmUp: d.Phase() == rollout.PhaseTrial && in.TimeLeft < drain+warmUpLead,
-		SlowAfter: slowThresholds(in.Report.Old), CanaryFractions: d.growCanaries(in), Closed: d.closed, Reason: d.reason,
+		SlowAfter: slowThresholds(in.Report.Old), CanaryFractions: d.growCanaries(in, latency), Closed: d.closed, Reason: d.reason,
 	}
 }
 
@@ -265,9 +267,9 @@
 	}
 }
 
-// growCanaries returns a larger fraction of the keys for each route that has traffic but
-// none of it in the trial, since a version may be bad on that route only.
-func (d *Decider) growCanaries(in Inputs) map[string]float64 {
+// growCanaries returns a larger fraction of the keys for each route that has too little of
+// its traffic in the trial, since a version may be bad on that route only.
+func (d *Decider) growCanaries(in Inputs, latency time.Duration) map[string]float64 {
 	if d.Phase() != rollout.PhaseTrial {
 		return nil
 	}
@@ -277,25 +279,40 @@
 		if float64(old.Ended) < minResponses/worker.CanaryFraction {
 			continue
 		}
-		if d.canaryFractions[route] == 0 && responses[route].Ended > 0 {
-			continue
+		c, ok := d.canaries[route]
+		if !ok {
+			c = &canaryRoute{fraction: worker.CanaryFraction, since: d.trialSince}
+			d.canaries[route] = c
 		}
-		if responses[route].Ended == 0 {
-			grown := worker.CanaryFraction * math.Exp2(in.Now.Sub(d.trialSince).Seconds()-1)
-			d.canaryFractions[route] = min(max(grown, worker.CanaryFraction), maxCanaryFraction)
+		if c.grow(in.Now, d.trialSince, old, responses[route], coldFactor*latency) {
+			d.analyzer.Resettle(route, in.Now)
+		}
+		if c.fraction == worker.CanaryFraction {
+			continue
 		}
 		if fractions == nil {
 			fractions = make(map[string]float64)
 		}
-		fractions[route] = d.canaryFractions[route]
+		fractions[route] = c.fraction
 	}
 	return fractions
 }
 
+// shiftedResponses returns the number of responses of workers that are not canaries.
+func shiftedResponses(r rollout.Report) int {
+	n := 0
+	for key, t := range r.New {
+		if key.Worker == "" {
+			n += int(t.Ended)
+		}
+	}
+	return n
+}
+
 // checkShift proves the version after enough time and responses in the shift.
 func (d *Decider) checkShift(in Inputs) {
 	elapsed := in.Now.Sub(d.phaseSince)
-	responses := int(total(in.Report.NewByRoute()).Ended)
+	responses := shiftedResponses(in.Report) - d.trialResponses
 	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -33,6 +33,7 @@
 	"limits":    limits,
 	"regions":   regions,
 	"rests":     rests,
+	"rollout":   rollouts,
 	"stop":      stopping,
 	"steps":     steps,
 	"scale":     scale,
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -292,3 +292,11 @@
 
 // IsClosed reports whether the snapshot in use has a hall as closed.
 func (g *Gateway) IsClosed(hall string) bool { return g.snapshot.Load().Closed[hall] }
+
+// RolloutProgress returns the phase of the order for a service as this VM applies it.
+func (g *Gateway) RolloutProgress(service string) rollout.Phase {
+	if o, ok := g.rollouts.byService(service); ok {
+		return o.splitter.Phase()
+	}
+	return rollout.PhaseOrdered
+}
