--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -313,7 +313,9 @@
 func (d *Decider) checkShift(in Inputs) {
 	elapsed := in.Now.Sub(d.phaseSince)
 	responses := shiftedResponses(in.Report) - d.trialResponses
-	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift {
+	// An order that can still be completed in time does not wait beyond that.
+	canWait := in.TimeLeft < 0 || in.TimeLeft > minDrain+completionAllowance
+	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift && canWait {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
 	}
