--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -167,6 +167,9 @@
 	// LinkMbps is the bandwidth of this VM's link, in Mbit/s. VMs with high bandwidth
 	// distribute changes to the others. Default 0, which means unknown.
 	LinkMbps int
+	// AdmissionByRank lets requests compete for the room of full workers by the priorities of
+	// their workspaces and routes. Otherwise the room goes to who comes first.
+	AdmissionByRank bool
 	// Descriptors is how many files and sockets this VM may have open. It bounds the
 	// connections of clients and those to workers. Default 0, which means unknown.
 	Descriptors int
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -45,6 +45,7 @@
 		duration("quota-window", "time over which the limits of workspaces hold", gateway.DefaultQuotaWindow),
 		&cli.FloatFlag{Name: "quota-overage", Value: 0.1, Usage: "part by which a workspace may pass its limit in a window", Sources: env("quota-overage")},
 		&cli.FloatFlag{Name: "quota-slack", Value: 20, Usage: "requests by which it may pass it beside", Sources: env("quota-slack")},
+		&cli.BoolFlag{Name: "admission-by-rank", Usage: "let requests compete for the room of full workers by the priorities of their workspaces and routes", Sources: env("admission-by-rank")},
 		number("pipeline-depth", "requests of a connection that run at a time, if its client sends them ahead; 1 runs one after the other", pipeline.DefaultMaxDepth),
 		number("pipeline-behind", "requests of all connections that run behind another one", pipeline.DefaultMaxBehind),
 		number("pipeline-held", "bytes of a connection's answers that wait for earlier ones", pipeline.DefaultMaxHeld),
@@ -66,7 +67,7 @@
 		Ingress: c.String("ingress"), Ready: c.String("ready"), Directory: c.String("directory"),
 		Peer: c.String("peer"), MetricsAddress: c.String("metrics"), Token: c.String("token"),
 		LinkMbps:   int(c.Float("link")),
-		FirstStart: c.Bool("first-start"), Descriptors: c.Int("descriptors"),
+		FirstStart: c.Bool("first-start"), Descriptors: c.Int("descriptors"), AdmissionByRank: c.Bool("admission-by-rank"),
 		Bounds: gateway.Bounds{
 			Grace: c.Duration("grace"), MaxTTL: c.Duration("max-ttl"), RetryRatio: c.Float("retry-ratio"),
 			ApplyWithin:  min(c.Duration("apply-within"), c.Duration("leave-within")),
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -103,6 +103,8 @@
 	Quarantine Quarantine
 	// Rollouts divides requests between the versions of a service. Nil means one version.
 	Rollouts Rollouts
+	// AdmissionByRank lets requests compete for the room of full workers by their ranks.
+	AdmissionByRank bool
 	// LeavingGrace is how long a worker may still get requests after it has declared
 	// that it is leaving. Default 0: it gets none.
 	LeavingGrace time.Duration
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -93,6 +93,8 @@
 	// limiter and keys are used by the handler after a call of serve.
 	limiter ingress.Limiter
 	keys    ingress.Keys
+	// byRank lets the handler admit requests by rank after a call of serve.
+	byRank bool
 	// log is used by the handler after a call of serve. Its zero value drops all lines.
 	log logr.Logger
 
@@ -157,7 +159,7 @@
 		},
 		Placer:    placement.New(placement.Config{Region: "here", Loads: f.loads, ColdLimiter: cold, Now: time.Now}),
 		Upstreams: client, Dialect: plainDialect{}, Metrics: metrics.New(), Log: f.log, Decisions: f.decisions,
-		VMCount: func() int { return 1 }, Retry: retry.Config{Burst: 100}, Limiter: f.limiter, Keys: f.keys,
+		VMCount: func() int { return 1 }, Retry: retry.Config{Burst: 100}, Limiter: f.limiter, Keys: f.keys, AdmissionByRank: f.byRank,
 	})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(func() {
--- a/transport/ingress/rank.go
+++ b/transport/ingress/rank.go
@@ -10,8 +10,11 @@
 	"github.com/ryehill/ryehill/coordination/placement"
 )
 
-// setRank sets the rank of the request at its service.
+// setRank sets the rank of the request at its service, if ranks count.
 func (q *request) setRank(s *placement.Snapshot) {
+	if !q.handler.cfg.AdmissionByRank {
+		return
+	}
 	q.rank, q.ranks = s.Routes.Rank(q.service, q.route, q.workspace)
 	if q.ranked() {
 		q.addInput("rank", fmt.Sprintf("%d of %d", q.rank, q.ranks))
--- a/transport/ingress/rank_test.go
+++ b/transport/ingress/rank_test.go
@@ -38,6 +38,8 @@
 		Routes: []route.Route{{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, MaxAttempts: 1, Timeout: time.Minute, Targets: []route.Target{{Service: "s", Weight: 1}}}},
 	})
 	f.setSnapshot(&s)
+	f.byRank = true
+	f.serve(t)
 	send := func(id, key string) reply {
 		return f.send(http.MethodGet, "/read/", id, "", "Api-Key", key, "Wait", "60000")
 	}
