--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,7 @@
 		VMCount:    func() int { return g.members.Len() + 1 },
 		VM:         cfg.VM, Decisions: g.decisions, StateAge: g.maxReplicaAge, Limiter: g, Keys: g, Quarantine: g.quarantines, Rollouts: g.rollouts, Now: clock.Now,
 		LeavingGrace: g.leavingGrace(), AdmissionByRank: cfg.AdmissionByRank,
-		Retry:        retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryRatioFraction * float64(share.Whole)), Burst: retryBurst},
+		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryRatioFraction * float64(share.Whole)), Burst: retryBurst},
 	})
 	if err := g.listen(); err != nil {
 		g.closeListeners()
