rollout: slowness counts once the canary keys of a route cannot grow

At the largest fraction of keys, grow still reported a change at each decision while they had too little traffic, so the route was settled anew each time and its slow responses were ignored for the whole trial.

--- a/coordination/rollout/canary.go
+++ b/coordination/rollout/canary.go
@@ -32,8 +32,8 @@
 	old, tried uint32
 }
 
-// grow doubles the fraction if the keys in it have too little traffic, and reports whether
-// it did so. firstRun is the latency of a key's first request, before which a new key has
+// grow doubles the fraction, up to its bound, if the keys in it have too little traffic, and
+// reports whether it did so. firstRun is the latency of a key's first request, before which a new key has
 // no response.
 func (c *canaryRoute) grow(now, trialSince time.Time, old, tried rollout.Tally, firstRun time.Duration) bool {
 	if tried.Ended == 0 {
@@ -50,12 +50,14 @@
 	if expected < minExpectedResponses || float64(tried.Ended-c.tried) >= minCanaryTraffic*expected {
 		return false
 	}
-	c.change(now, min(2*c.fraction, maxCanaryFraction), old, tried)
-	return true
+	return c.change(now, min(2*c.fraction, maxCanaryFraction), old, tried)
 }
 
-func (c *canaryRoute) change(now time.Time, fraction float64, old, tried rollout.Tally) {
-	if fraction != c.fraction {
-		c.fraction, c.since, c.old, c.tried = fraction, now, old.Ended, tried.Ended
+// change sets the fraction, and reports whether it was different.
+func (c *canaryRoute) change(now time.Time, fraction float64, old, tried rollout.Tally) bool {
+	if fraction == c.fraction {
+		return false
 	}
+	c.fraction, c.since, c.old, c.tried = fraction, now, old.Ended, tried.Ended
+	return true
 }
--- /dev/null
+++ b/coordination/rollout/canary_test.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The ryehill Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package rollout_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	rolling "github.com/ryehill/ryehill/coordination/rollout"
+	"github.com/ryehill/ryehill/state/rollout"
+)
+
+// Guards against slowness being ignored throughout the trial on a route whose canary keys
+// have little traffic even though no more keys can be added.
+func TestSlownessIsFoundOnceCanaryKeysStopGrowing(t *testing.T) {
+	const (
+		interval, duration = 100 * time.Millisecond, 20 * time.Second
+		typicalMillis      = 10
+		oldPerRound        = 200
+		othersPerRound     = 100 // good responses on the other route, which hide the slow ones in the total
+	)
+	d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: 2 * duration}})
+	r := rollout.NewReport()
+	r.VMs[rollout.PhaseTrial] = 1
+	tallies := func(n uint32) rollout.Tally {
+		return rollout.Tally{Ended: n, LogMillis: float64(n) * math.Log(typicalMillis)}
+	}
+	begun := time.Unix(1000, 0)
+	for at := time.Duration(0); at < duration; at += interval {
+		rare, others := rollout.TallyKey{Route: "rare", Worker: "w"}, rollout.TallyKey{Route: "others", Worker: "w"}
+		old, oldOthers, tried, triedOthers := r.Old["rare"], r.Old["others"], r.New[rare], r.New[others]
+		old.Add(tallies(oldPerRound))
+		oldOthers.Add(tallies(oldPerRound))
+		tried.Add(rollout.Tally{Ended: 1, Slow: 1})
+		triedOthers.Add(tallies(othersPerRound))
+		r.Old["rare"], r.Old["others"], r.New[rare], r.New[others] = old, oldOthers, tried, triedOthers
+		step := d.Decide(rolling.Inputs{Now: begun.Add(at), TimeLeft: 2*duration - at, Report: r, VMs: 1, Slots: 90})
+		if step.Phase == rollout.PhaseRolledBack {
+			t.Logf("rolled back after %s: %s", at, step.Reason)
+			return
+		}
+	}
+	t.Errorf("a version of which all %d responses on a route are slow is still in the trial", duration/interval)
+}
