--- a/coordination/rollout/rolloutmodel/model.go
+++ b/coordination/rollout/rolloutmodel/model.go
@@ -68,6 +68,7 @@
 	now, begun  time.Time
 	vms         []*rolling.Splitter
 	decider     decider
+	loaded      bool                 // what the last decider that decided says, also once it is replaced
 	warm        map[string]time.Time // when a key becomes fast at a location
 	pending     completions
 	oldInFlight int
@@ -177,7 +178,7 @@
 		took = warm
 	}
 	failed := m.random.Float64() < m.BaseFailures
-	if f := m.Fault; f != nil && track != worker.TrackStable && f.affects(at, route, m.decider.loaded()) && m.random.Float64() < f.Fraction {
+	if f := m.Fault; f != nil && track != worker.TrackStable && f.affects(at, route, m.loaded) && m.random.Float64() < f.Fraction {
 		failed = failed || f.Slowdown == 0
 		took *= max(f.Slowdown, 1)
 	}
@@ -209,6 +210,7 @@
 	}
 	sum.InFlightOld = m.oldInFlight
 	step := m.decider.decide(rolling.Inputs{Now: m.now, TimeLeft: Duration - at, Report: sum, VMs: len(m.vms), Slots: m.Slots})
+	m.loaded = m.decider.loaded()
 	if m.ReplaceDecider && step.Phase != m.Phase {
 		m.decider = m.Way.newDecider()
 	}
