--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -45,7 +45,7 @@
 			q.recordChoice(attemptNumber, choice, refusal)
 			if refusal != placement.RefusalNone {
 				q.countRefusal(choice)
-				q.countRankRefusal()
+				q.countRankRefusal(refusal)
 				q.retryAfter = choice.RetryAfter()
 				q.refusePlacement(busyReason(refusal, q.handler.cfg.Placer.HasCapacity(s, q.placementRequest())), attemptNumber)
 				return
--- a/transport/ingress/rank.go
+++ b/transport/ingress/rank.go
@@ -43,8 +43,8 @@
 }
 
 // countRankRefusal counts a request that was refused for lack of room.
-func (q *request) countRankRefusal() {
-	if q.ranked() {
+func (q *request) countRankRefusal(refusal placement.Refusal) {
+	if q.ranked() && refusal == placement.RefusalBusy {
 		q.handler.cfg.Metrics.RankRefused(q.service, q.rank)
 	}
 }
