pipeline: nothing is written behind an aborted response

A handler behind it that wrote after its turn had come, though its request was canceled, still reached the client: as the missing bytes of the aborted response, or as its answer. The writer refuses once the connection is broken.

--- a/transport/pipeline/ending.go
+++ b/transport/pipeline/ending.go
@@ -148,8 +148,12 @@
 // stallWriter writes to the connection and breaks it off if the client accepts nothing.
 type stallWriter struct{ c *conn }
 
-// Write implements io.Writer.
+// Write implements io.Writer. After an incomplete response it writes nothing: the client
+// would take the bytes of a later response, whose handler may still run, for the missing ones.
 func (w stallWriter) Write(p []byte) (int, error) {
+	if w.c.isBroken() {
+		return 0, errNotSent
+	}
 	written := 0
 	for written < len(p) {
 		part := p[written:min(written+maxWrite, len(p))]
--- a/transport/pipeline/ending_test.go
+++ b/transport/pipeline/ending_test.go
@@ -225,3 +225,32 @@
 		t.Errorf("%d bytes look complete", len(received))
 	}
 }
+
+// Guards against a response that a handler writes late, although its request is canceled,
+// being taken for the aborted one before it or for the missing bytes of that.
+func TestNothingFollowsAbortedResponse(t *testing.T) {
+	for name, part := range map[string]string{"without a byte": "", "in its body": "part"} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(t, func(c *pipeline.Config) {
+				c.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/1" {
+						w.Header().Set("Content-Length", "1000")
+						if part != "" {
+							_, _ = io.WriteString(w, part)
+						}
+						panic(http.ErrAbortHandler)
+					}
+					time.Sleep(100 * time.Millisecond) // The turn comes meanwhile.
+					w.Header().Set("Content-Length", "5000")
+					_, _ = io.WriteString(w, strings.Repeat("x", 5000))
+				})
+			})
+			c := s.dial(t)
+			c.send(get("/1"), get("/2"))
+			received, _ := io.ReadAll(c.br) // It ends with the connection, however that ends.
+			if _, body, _ := strings.Cut(string(received), "\r\n\r\n"); body != part {
+				t.Errorf("%q is behind the header of the aborted response, want %q", body[:min(len(body), 100)], part)
+			}
+		})
+	}
+}
