--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -322,8 +322,8 @@
 	if !p.reserve(w.MaxConnections) {
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID}
 	}
-	if !c.makeRoom() {
-		p.release()
+	if !c.reserve() {
+		p.releaseUnopened()
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID, cause: errAllInUse}
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
@@ -397,8 +397,8 @@
 	return expired
 }
 
-// reserve counts a new connection and reports whether the limit allows it. At
-// the limit it closes the least recently used idle connection to make room.
+// reserve counts a new connection, for this pool only, and reports whether the limit
+// allows it. At the limit it closes the least recently used idle connection to make room.
 func (p *pool) reserve(limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -414,10 +414,17 @@
 		oldest.close()
 	}
 	p.openCount++
-	p.total.Add(1)
 	return true
 }
 
+// releaseUnopened undoes reserve.
+func (p *pool) releaseUnopened() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openCount--
+}
+
+// release undoes the reserve of the pool and that of the client.
 func (p *pool) release() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/upstream/descriptors.go
+++ b/transport/upstream/descriptors.go
@@ -27,15 +27,22 @@
 // are being established.
 func (c *Client) OpenConnections() int { return int(c.openConns.Load()) }
 
-// makeRoom closes idle connections until no more than Config.MaxOpen are open. It returns
-// false if too many are in use.
-func (c *Client) makeRoom() bool {
-	for c.cfg.MaxOpen > 0 && c.OpenConnections() > c.cfg.MaxOpen {
-		if !c.closeOldestIdle() {
+// reserve counts a new connection to any upstream, and closes idle ones until Config.MaxOpen
+// allows it. It returns false if all are in use. A connection that is refused is not counted
+// meanwhile, so that it takes the room of no other.
+func (c *Client) reserve() bool {
+	limit := int64(c.cfg.MaxOpen)
+	for {
+		n := c.openConns.Load()
+		switch {
+		case limit <= 0 || n < limit:
+			if c.openConns.CompareAndSwap(n, n+1) {
+				return true
+			}
+		case !c.closeOldestIdle() && c.openConns.Load() >= limit:
 			return false
 		}
 	}
-	return true
 }
 
 // dial opens a connection. If this machine lacks what that takes, it closes an idle
