--- a/transport/pipeline/capacity.go
+++ b/transport/pipeline/capacity.go
@@ -21,14 +21,7 @@
 	if s.cfg.MaxConnections <= 0 || len(s.conns) < s.cfg.MaxConnections {
 		return true
 	}
-	now := time.Now()
-	var longest *conn
-	rest := minEvictedRest
-	for c := range s.conns {
-		if d := c.restedFor(now); d >= rest {
-			longest, rest = c, d
-		}
-	}
+	longest := s.longestRested(time.Now())
 	if longest == nil {
 		s.cfg.Metrics.ConnectionEnded(reasonRejected)
 		_ = nc.Close() // Nothing was read or written.
@@ -39,6 +32,27 @@
 	return true
 }
 
+// longestRested returns the connection that has been without requests for longest, or nil if
+// none has been for minEvictedRest. All connections are looked at only when there may be one
+// again, since many new ones may be rejected until then. mu is held.
+func (s *Server) longestRested(now time.Time) *conn {
+	if now.Before(s.noneRestedBefore) {
+		return nil
+	}
+	var longest *conn
+	rest := time.Duration(0)
+	for c := range s.conns {
+		if d := c.restedFor(now); d > rest {
+			longest, rest = c, d
+		}
+	}
+	if rest < minEvictedRest {
+		s.noneRestedBefore = now.Add(minEvictedRest - rest)
+		return nil
+	}
+	return longest
+}
+
 // restedFor returns how long the connection has been without requests, or 0 if it has any
 // or is ending.
 func (c *conn) restedFor(now time.Time) time.Duration {
--- a/transport/pipeline/capacity_test.go
+++ b/transport/pipeline/capacity_test.go
@@ -4,10 +4,13 @@
 package pipeline_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ryehill/ryehill/transport/pipeline"
 )
 
@@ -37,3 +40,22 @@
 		c.want(http.StatusOK, "/busy")
 	}
 }
+
+// Guards against rejections that each cost a look at all connections, when the clients of
+// many VMs come to one whose connections are all in use.
+func TestRejectionLooksAtNoConnection(t *testing.T) {
+	s := newTestServer(t, func(cfg *pipeline.Config) { cfg.MaxConnections = 3 })
+	for range 3 {
+		s.dial(t).send(get("/busy?work=5s"))
+	}
+	waitUntil(t, "three requests began", func() bool { return len(s.begun()) == 3 })
+	s.dial(t).wantEnd() // None can become idle for long enough before minEvictedRest.
+	unlock := s.LockConnections()
+	rejected := s.dial(t)
+	_ = rejected.SetReadDeadline(time.Now().Add(2 * time.Second))
+	_, err := rejected.Read(make([]byte, 1))
+	unlock()
+	if !errors.Is(err, io.EOF) {
+		t.Errorf("got %v while no connection can be looked at, want %v", err, io.EOF)
+	}
+}
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -118,6 +118,8 @@
 	stopping  bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+	// noneRestedBefore is the earliest time at which a connection may be closed for a new one.
+	noneRestedBefore time.Time
 	// ended is notified whenever a connection has ended.
 	ended sync.Cond
 }
