--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -285,29 +285,34 @@
 // exhaustedListener fails to accept connections for a while, as for want of descriptors.
 type exhaustedListener struct {
 	net.Listener
+	code     syscall.Errno
 	failures atomic.Int32
 }
 
 // Accept implements net.Listener.
 func (l *exhaustedListener) Accept() (net.Conn, error) {
 	if l.failures.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", l.code)}
 	}
 	return l.Listener.Accept()
 }
 
 // Guards against a VM that ends, or stays unreachable, once it had no descriptors left.
 func TestAcceptContinuesAfterExhaustion(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &exhaustedListener{Listener: inner}
-	l.failures.Store(4)
-	serveManager(t, l, "v1", "main", tlsfiles.Files{})
-	caller := peer.New(peer.Config{Self: peer.Identity{Fleet: "main", Hall: "a", VM: "v2", Start: 1}, Handler: echo})
-	defer caller.Close()
-	if got, err := callFind(caller, "v1", inner.Addr().String()); err != nil || got != "d1" {
-		t.Errorf("got %q, %v", got, err)
+	for _, code := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run(code.Error(), func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &exhaustedListener{Listener: inner, code: code}
+			l.failures.Store(4)
+			serveManager(t, l, "v1", "main", tlsfiles.Files{})
+			caller := peer.New(peer.Config{Self: peer.Identity{Fleet: "main", Hall: "a", VM: "v2", Start: 1}, Handler: echo})
+			defer caller.Close()
+			if got, err := callFind(caller, "v1", inner.Addr().String()); err != nil || got != "d1" {
+				t.Errorf("got %q, %v", got, err)
+			}
+		})
 	}
 }
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,10 +94,11 @@
 	}
 }
 
-// isTemporary reports whether the next accept after a failed one may succeed.
+// isTemporary reports whether the next accept after a failed one may succeed. A lack of
+// memory passes as well, though its errors do not say so.
 func isTemporary(err error) bool {
 	var temporary interface{ Temporary() bool }
-	return errors.As(err, &temporary) && temporary.Temporary()
+	return errors.As(err, &temporary) && temporary.Temporary() || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
 // pause waits for a while, or until the manager is closed.
--- a/transport/pipeline/capacity_test.go
+++ b/transport/pipeline/capacity_test.go
@@ -5,7 +5,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,3 +62,40 @@
 		t.Errorf("got %v while no connection can be looked at, want %v", err, io.EOF)
 	}
 }
+
+// exhaustedListener fails to accept connections once for each of the codes.
+type exhaustedListener struct {
+	net.Listener
+	codes []syscall.Errno
+}
+
+// Accept implements net.Listener.
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if len(l.codes) > 0 {
+		code := l.codes[0]
+		l.codes = l.codes[1:]
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", code)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a VM that takes no more clients once it had no descriptors or memory left.
+func TestAcceptContinuesAfterExhaustion(t *testing.T) {
+	s := newTestServer(t, nil)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &exhaustedListener{Listener: inner, codes: []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	s.address = inner.Addr().String()
+	c := s.dial(t)
+	c.send(get("/1"))
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	c.want(http.StatusOK, "/1")
+	_ = s.Close()
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		t.Error(err)
+	}
+}
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -36,6 +36,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -188,8 +189,7 @@
 		if s.isStopping() {
 			return http.ErrServerClosed
 		}
-		var temporary interface{ Temporary() bool }
-		if !errors.As(err, &temporary) || !temporary.Temporary() {
+		if !isTemporary(err) {
 			return errors.Wrap(err, "pipeline: accept")
 		}
 		s.cfg.Log.Info("pipeline: accept failed, trying again", "error", err.Error(), "after_ms", pause.Milliseconds())
@@ -198,6 +198,13 @@
 	}
 }
 
+// isTemporary reports whether the next accept after a failed one may succeed. A lack of
+// memory passes as well, though its errors do not say so.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary() || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 func (s *Server) addListener(l net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
