--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -36,6 +36,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,6 +119,8 @@
 	stopping  bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+	// noneRestedBefore is the earliest time at which a connection may be closed for a new one.
+	noneRestedBefore time.Time
 	// ended is notified whenever a connection has ended.
 	ended sync.Cond
 }
@@ -186,8 +189,7 @@
 		if s.isStopping() {
 			return http.ErrServerClosed
 		}
-		var temporary interface{ Temporary() bool }
-		if !errors.As(err, &temporary) || !temporary.Temporary() {
+		if !isTemporary(err) {
 			return errors.Wrap(err, "pipeline: accept")
 		}
 		s.cfg.Log.Info("pipeline: accept failed, trying again", "error", err.Error(), "after_ms", pause.Milliseconds())
@@ -196,6 +198,13 @@
 	}
 }
 
+// isTemporary reports whether the next accept after a failed one may succeed. A lack of
+// memory passes as well, though its errors do not say so.
+func isTemporary(err error) bool {
+	var temporary interface{ Temporary() bool }
+	return errors.As(err, &temporary) && temporary.Temporary() || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 func (s *Server) addListener(l net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
