--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -274,7 +274,7 @@
 		add("link", "want 0 to "+strconv.Itoa(maxLinkMbps)+" Mbit/s")
 	}
 	if c.Descriptors < 0 {
-		add("descriptors", "want a number above 0")
+		add("descriptors", "want 0 or more")
 	}
 	c.Bounds.check(add)
 	c.Pipeline.check(add)
@@ -291,11 +291,11 @@
 		"pipeline-held-total": p.MaxHeldTotal, "pipeline-read-ahead": p.ReadAhead,
 	} {
 		if value < 0 {
-			add(field, "want a number above 0")
+			add(field, "want 0 or more")
 		}
 	}
 	if p.StallTimeout < 0 {
-		add("pipeline-stall", "want a time above 0")
+		add("pipeline-stall", "want 0 or more")
 	}
 }
 
--- a/transport/pipeline/head.go
+++ b/transport/pipeline/head.go
@@ -87,8 +87,8 @@
 	return req, nil
 }
 
-// checkFields returns the number of hosts. It rejects what the standard library's parser accepts but servers interpret
-// differently, and what only its server rejects.
+// checkFields returns the number of hosts. It rejects what the standard library's parser
+// accepts but servers interpret differently, and what only its server rejects.
 func checkFields(head []byte) (hosts int, err error) {
 	requestLine, fields, _ := bytes.Cut(bytes.TrimSuffix(head, []byte("\r\n")), []byte("\r\n"))
 	lengths, encodings := 0, 0
