rollout: a version is not proved by the clock alone

A version now needs 20 answers to be proved, unless the old one has as few, as at a service at rest; an order that has too little time left ends late.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -49,6 +49,10 @@
 	minShift          = time.Second
 	maxShift          = 2 * time.Second
 	minShiftResponses = 100
+	// minProofResponses is the number of responses without which a version is not proved,
+	// however late that is, unless the old version has as few. VMs that start again have
+	// lost what they had counted.
+	minProofResponses = 20
 	// drainFactor is the expected time to drain as a multiple of the old version's typical
 	// latency, bounded by minDrain and maxDrain. completionAllowance is the time to learn
 	// that all VMs are drained and to store the result.
@@ -319,9 +323,22 @@
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
 	}
+	if judged := int(total(in.Report.NewByRoute()).Ended); judged < minProofResponses && oldResponses(in.Report) >= minProofResponses {
+		d.reason = fmt.Sprintf("has served what its share allows for %s, with %d answers only", elapsed.Round(time.Millisecond), judged)
+		return
+	}
 	d.fire(eventProve, in.Now, fmt.Sprintf("is proved by %d answers", responses))
 }
 
+// oldResponses returns the number of responses of the old version.
+func oldResponses(r rollout.Report) int {
+	n := 0
+	for _, t := range r.Old {
+		n += int(t.Ended)
+	}
+	return n
+}
+
 // checkDrain completes the order once no VM has requests in flight at old workers. It
 // waits for live VMs that do not report, since they may still have some.
 func (d *Decider) checkDrain(in Inputs) {
