make: tests of orders run apart, within the time limit

The soak's tests took 346 s of the 480 s that a run has, the gateway's 408 to 446 s; the tests of orders and of a store that turns VMs away add 125 s and some 160 s. Each test is in just one run, as before (listed and compared).

--- a/Makefile
+++ b/Makefile
@@ -34,18 +34,21 @@
 # short of processor time makes them refuse what they would else carry. For the
 # same reason four tests of a package run at a time: a session starts 13 processes.
 # The soak, and the gateway's tests of a store that returns from a copy, run apart from the
-# others of their packages, so that each run stays within the time limit.
+# others of their packages, and so do the tests of rollouts and of a store that turns VMs
+# away, so that each run stays within the time limit.
 # SKIP names tests that are left out, as a pattern; CI sets it from KNOWN-RED.txt.
 TEST := go test -race -p 1 -parallel 4 -timeout 8m
 RETURNS := FromCop|NewEra|GoesBack|WrittenAgain
 SOAK := ^TestSoak
+ORDERS := ^TestSoak.*Order|^TestOrders|VersionIs|TurnsSomeVMsAway
 SKIPPED := $(if $(SKIP),^($(SKIP))$$)
 test:
 	$(TEST) $(if $(SKIP),-skip '$(SKIPPED)') $$(go list ./... | grep -vE '/(internal/gateway|platform)$$' ) ./transport/platform
 	$(TEST) -skip '$(SOAK)$(if $(SKIP),|$(SKIPPED))' ./platform
-	$(TEST) -run '$(SOAK)' $(if $(SKIP),-skip '$(SKIPPED)') ./platform
-	$(TEST) -skip '$(RETURNS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
-	$(TEST) -run '$(RETURNS)' $(if $(SKIP),-skip '$(SKIPPED)') ./internal/gateway
+	$(TEST) -run '$(SOAK)' -skip '$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./platform
+	$(TEST) -skip '$(RETURNS)|$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
+	$(TEST) -run '$(RETURNS)' -skip '$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
+	$(TEST) -run '$(ORDERS)' $(if $(SKIP),-skip '$(SKIPPED)') ./internal/gateway ./platform
 
 format: $(LINT)
 	$(LINT) fmt ./...
