--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -90,13 +90,11 @@
 	// decisions are the decision records of the handler.
 	decisions *ingress.Decisions
 	loads     *worker.Loads
-	// limiter and keys are used by the handler after a call of serve.
+	// These are used by the handler after a call of serve. The zero value of log drops all lines.
 	limiter ingress.Limiter
 	keys    ingress.Keys
-	// byRank lets the handler admit requests by rank after a call of serve.
-	byRank bool
-	// log is used by the handler after a call of serve. Its zero value drops all lines.
-	log logr.Logger
+	byRank  bool
+	log     logr.Logger
 
 	mu   sync.Mutex
 	runs map[string][]string // workers that got each request, by request id
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -446,7 +446,4 @@
 	c.close()
 }
 
-// errAllInUse reports that all connections that Config.MaxOpen allows are in use.
-var errAllInUse = errors.New("all connections are in use")
-
 var errClosed = errors.New("upstream closed the connection")
--- a/transport/upstream/descriptors.go
+++ b/transport/upstream/descriptors.go
@@ -12,6 +12,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// errAllInUse reports that all connections that Config.MaxOpen allows are in use.
+var errAllInUse = errors.New("all connections are in use")
+
 // isExhausted reports whether an error of a dial shows that this machine lacks
 // descriptors, ports or memory, which says nothing of the upstream.
 func isExhausted(err error) bool {
