--- a/internal/experiment/regions.go
+++ b/internal/experiment/regions.go
@@ -156,7 +156,7 @@
 	{name: "as now, shed above 0.75, steps", capacity: regionUnequal, decide: decideShed(regionHigh), step: regionStep},
 }
 
-// decideByDemand shares the slots by the measured demand.
+// decideByDemand shares the slots by the demand seen so far.
 func decideByDemand(m *regionModel, p *regionParts) {
 	slots, total, demand := m.slots()
 	for r := range regionCount {
--- a/internal/experiment/regionsmodel.go
+++ b/internal/experiment/regionsmodel.go
@@ -58,7 +58,7 @@
 	id               uint64
 	home             int
 	position, target float64
-	// rate is the measured rate, in requests per second; holders are the workers that were
+	// rate is the request rate seen, in requests per second; holders are the workers that were
 	// chosen instead of those by hashing, by region.
 	rate    float64
 	count   int
@@ -78,7 +78,7 @@
 	queue  []func()
 	// warm holds the keys of finished runs, the latest last.
 	warm []uint64
-	// rate is the measured rate of its keys.
+	// rate is the request rate of its keys.
 	rate float64
 }
 
--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -84,10 +84,9 @@
 
 // fixture is a VM between a client and workers.
 type fixture struct {
-	server   *httptest.Server
-	handler  *ingress.Handler
-	snapshot *placement.Snapshot
-	// decisions are the decision records of the handler.
+	server    *httptest.Server
+	handler   *ingress.Handler
+	snapshot  *placement.Snapshot
 	decisions *ingress.Decisions
 	loads     *worker.Loads
 	// These are used by the handler after a call of serve. The zero value of log drops all lines.
