upstream, gateway: failed connections to workers are counted and logged

Collected output of the incident could not tell a VM that reaches no worker from workers that are down, nor hung connections from reset or refused ones. Each VM now counts connections by result and logs, for each two seconds in which one failed, the results and how many workers answered and failed. No decision changes.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -194,6 +194,8 @@
 	// Listen opens the listener for peers, and Dial connections to them. Default: TCP.
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	// WorkerDial opens connections to workers. Default: TCP.
+	WorkerDial func(ctx context.Context, address string) (net.Conn, error)
 
 	// StaleAfter is the age at which a VM calls the store itself if no peer has
 	// confirmed its replica. Default: Bounds.ApplyWithin minus the time for a call and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,11 +87,13 @@
 	loadsMark loadsMark
 	meters    *load.HallMeters
 	upstreams *upstream.Client
-	peers     *peer.Manager
-	ingress   *ingress.Handler
-	decisions *ingress.Decisions
-	snapshot  atomic.Pointer[placement.Snapshot]
-	compiler  compiler
+	// connections counts what the connections of upstreams show.
+	connections *connections
+	peers       *peer.Manager
+	ingress     *ingress.Handler
+	decisions   *ingress.Decisions
+	snapshot    atomic.Pointer[placement.Snapshot]
+	compiler    compiler
 
 	listeners       []net.Listener
 	servers         []server
@@ -153,9 +155,10 @@
 	g.members = membership.New(membership.Config{Now: clock.Now, AcrossHalls: true, Self: membership.Member{
 		VM: g.vm(), Start: g.self.Start,
 	}})
+	g.connections = newConnections(cfg.Metrics)
 	g.upstreams = upstream.New(upstream.Config{
 		DialTimeout: workerDialTimeout, IdleTimeout: workerIdleTimeout, AtMostOnceMaxIdle: nonIdempotentIdleTimeout, TCPUserTimeout: workerAckTimeout, Dialect: cfg.Dialect, Now: clock.Now,
-		MaxOpen: connectionLimit(cfg.Descriptors),
+		MaxOpen: connectionLimit(cfg.Descriptors), Dial: cfg.WorkerDial, Observer: g.connections,
 	})
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
 	cold := placement.NewColdLimiter(placement.ColdLimiterConfig{VM: cfg.VM, Region: g.region(), Peers: g, Now: clock.Now})
@@ -312,6 +315,7 @@
 
 func (g *Gateway) backgroundLoops() []func(context.Context) {
 	loops := []func(context.Context){g.probeLoop, g.compileLoop, g.memberLoop, g.bootstrapLoop, g.syncLoop, g.controlLoop, g.balanceLoop, g.knowledgeLoop, g.callsLoop, g.quotaLoop, g.quarantineLoop, g.quarantineStoreLoop, g.restoreLoop, g.ingress.LogLosses}
+	loops = append(loops, func(ctx context.Context) { g.connections.logLoop(ctx, g.log) })
 	loops = append(loops, func(ctx context.Context) { g.listLoop(ctx, g.cfg.Codec.TrafficKind()) })
 	if g.rollouts.enabled() {
 		loops = append(loops, g.rolloutWatchLoop, g.rolloutLoop)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -47,6 +47,7 @@
 	keyAsked  prometheus.Counter
 	exits     *prometheus.CounterVec
 	hungUp    *prometheus.CounterVec
+	connects  *prometheus.CounterVec
 	rests     *prometheus.CounterVec
 	leaving   *prometheus.CounterVec
 	heldBack  *prometheus.GaugeVec
@@ -89,6 +90,7 @@
 		doubted:   counter(r, "knowledge_doubted_total", "Kinds of which a peer named an object that was missing.", "kind"),
 		passed:    counter(r, "watchers_passed_over_total", "Times that another VM was asked for news than the first choice, by reason.", "reason"),
 		exits:     counter(r, "upstream_exits_total", "Suspected exits of upstream processes that this VM observed or was told of, by evidence.", "evidence"),
+		connects:  counter(r, "upstream_connections_total", "Connections to upstreams by result: opened, refused, reset, timed out or failed; broken if they failed during an exchange.", "result"),
 		hungUp:    counter(r, "upstream_hang_ups_total", "Tries at which the upstream ended the connection before it answered, by service.", "service"),
 		heldBack:  gauge(r, "upstreams_held_back", "Upstreams that get nothing for now, or soon, for what they have said of themselves, by state.", "state"),
 		rests:     counter(r, "upstream_rests_total", "Refusals by upstreams that asked this VM for rest, by service.", "service"),
@@ -225,6 +227,9 @@
 // HungUp counts a try at which the upstream ended the connection before it answered.
 func (s *Set) HungUp(service string) { s.hungUp.WithLabelValues(service).Inc() }
 
+// Connection counts a connection to an upstream that was opened, or failed.
+func (s *Set) Connection(result string) { s.connects.WithLabelValues(result).Inc() }
+
 // AskedForRest counts a refusal by an upstream that wants nothing from this VM for a time.
 func (s *Set) AskedForRest(service string) { s.rests.WithLabelValues(service).Inc() }
 
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -169,6 +169,8 @@
 	Now func() time.Time
 	// Dialect interprets responses. Default: the headers of this package.
 	Dialect Dialect
+	// Observer is notified of what connections show. Default: none.
+	Observer Observer
 }
 
 // Dialect interprets the responses of upstreams. Its methods must not read
@@ -259,6 +261,9 @@
 	if cfg.Dialect == nil {
 		cfg.Dialect = defaultDialect{}
 	}
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
 	return &Client{cfg: cfg, pools: make(map[string]*pool)}
 }
 
@@ -326,17 +331,20 @@
 		p.releaseUnopened()
 		return nil, &Error{kind: KindBusy, notRun: true, step: "connect", worker: w.ID, cause: errAllInUse}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, c.cfg.DialTimeout)
 	defer cancel()
-	raw, err := c.dial(ctx, w.Address)
+	raw, err := c.dial(dialCtx, w.Address)
 	if err != nil {
 		p.release()
 		kind := KindUnreachable
 		if isExhausted(err) {
 			kind = KindBusy
+		} else if ctx.Err() == nil {
+			c.cfg.Observer.OpenFailed(w, err)
 		}
 		return nil, &Error{kind: kind, notRun: true, step: "connect", worker: w.ID, cause: err}
 	}
+	c.cfg.Observer.Opened(w)
 	created := newConn(raw, p, c.cfg.IdleTimeout)
 	created.processStart, created.opened = w.Start, c.cfg.Now()
 	return created, nil
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return nil, x.abortWithError(ctx, err)
 	}
+	c.cfg.Observer.Responded(w, conn.opened)
 	if refused := x.refusal(res); refused != nil {
 		x.releaseRefused(res)
 		return nil, refused
@@ -123,6 +124,9 @@
 	default:
 		e.peerClosed = isPeerClosed(err)
 	}
+	if x.bodyErr == nil && ctx.Err() == nil && isConnectionFailure(err) {
+		x.client.cfg.Observer.Broken(x.worker, err)
+	}
 	return e
 }
 
