--- a/internal/gateway/fakecodec_test.go
+++ b/internal/gateway/fakecodec_test.go
@@ -121,7 +121,10 @@
 	h.Del("Api-Key")
 	h.Set("Workspace", name)
 }
-func (dialect) AffinityKey(*http.Request) (string, bool)            { return "", false }
+func (dialect) AffinityKey(r *http.Request) (string, bool) {
+	key := r.Header.Get("Affinity")
+	return key, key != ""
+}
 func (dialect) SetWorkerHeaders(http.Header, string, time.Duration) {}
 func (dialect) Load(h http.Header) (running, waiting int, ok bool) {
 	running, err := strconv.Atoi(h.Get("Running"))
