--- a/transport/relay/local.go
+++ b/transport/relay/local.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -14,7 +13,7 @@
 	"github.com/ryehill/ryehill/coordination/capacity"
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/protocol/outcome"
-	"github.com/ryehill/ryehill/protocol/wire"
+	"github.com/ryehill/ryehill/transport/peer"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
@@ -100,7 +99,7 @@
 		res.cause, res.failure = retry.CauseBroken, callerDisconnected(err)
 		return res
 	}
-	res.bytes, err = copyBody(sink, response.Body())
+	res.bytes, err = peer.CopyBody(sink, response.Body())
 	if err != nil {
 		slot.Release(capacity.ResultBroken)
 		res.cause = retry.CauseBroken
@@ -115,13 +114,6 @@
 	return outcome.New(outcome.CodeBroken, outcome.Unknown, "answer the caller", "", err)
 }
 
-func copyBody(to io.Writer, from io.Reader) (int64, error) {
-	return io.CopyBuffer(onlyWriter{to}, from, make([]byte, wire.ChunkSize))
-}
-
-// onlyWriter hides ReadFrom, so that io.CopyBuffer copies in bounded chunks.
-type onlyWriter struct{ io.Writer }
-
 // upstreamFailure converts an upstream error to a result and releases the slot
 // with what the error says of the worker.
 func (e *Engine) upstreamFailure(slot *capacity.Slot, err error) result {
--- a/transport/relay/once.go
+++ b/transport/relay/once.go
@@ -14,6 +14,7 @@
 	"github.com/ryehill/ryehill/protocol/outcome"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/attempt"
+	"github.com/ryehill/ryehill/transport/peer"
 )
 
 // maxStoredResponse is the largest response body, in bytes, that is stored for a
@@ -108,7 +109,7 @@
 		// The request is complete: continue if the caller disconnects, so that
 		// the response can be stored for a repeat.
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline.Add(progressTimeout))
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.deadline.Add(peer.ProgressTimeout))
 		defer cancel()
 		recorder.ignoreDisconnect = true
 	}
--- a/transport/relay/remote.go
+++ b/transport/relay/remote.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,17 +13,12 @@
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/protocol/outcome"
 	"github.com/ryehill/ryehill/protocol/peerpb"
-	"github.com/ryehill/ryehill/protocol/wire"
 	"github.com/ryehill/ryehill/transport/peer"
 )
 
-const (
-	// progressTimeout is how long a body may make no progress between two VMs.
-	progressTimeout = 30 * time.Second
-	// responseGrace is how long after the deadline the receiver of a request
-	// may still report its outcome.
-	responseGrace = 250 * time.Millisecond
-)
+// responseGrace is how long after the deadline the receiver of a request
+// may still report its outcome.
+const responseGrace = 250 * time.Millisecond
 
 // tryHall runs a request in another hall under a grant.
 func (e *Engine) tryHall(ctx context.Context, r *Request, to hallRoute, sink Sink) result {
@@ -101,7 +94,7 @@
 	o.Method = r.Method
 	o.Target = r.Target
 	o.Host = r.Host
-	o.Headers = toHeaders(r.Header)
+	o.Headers = peer.EncodeHeader(r.Header)
 	o.Length = r.Body.length
 	o.TimeoutMillis = uint32(max(r.remaining(now).Milliseconds(), 1))
 	o.Eager = r.Body.buffered
@@ -113,17 +106,17 @@
 func (m *peerExchange) sendBody() {
 	body := m.req.Body.Reader()
 	if body != nil {
-		if _, err := copyBody(&chunkWriter{stream: m.stream, throttle: m.waitForLink}, body); err != nil {
+		if _, err := peer.CopyBody(peer.NewChunkWriter(m.stream, m.waitForLink), body); err != nil {
 			m.stream.Close()
 			return
 		}
 	}
 	_ = m.stream.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_End{End: &peerpb.End{}}})
-	// The response to a streamed body is due progressTimeout after the body
+	// The response to a streamed body is due peer.ProgressTimeout after the body
 	// was sent, however long that took.
 	due := m.req.deadline
 	if !m.req.Body.buffered {
-		due = time.Now().Add(progressTimeout)
+		due = time.Now().Add(peer.ProgressTimeout)
 	}
 	m.stream.SetReadDeadline(due.Add(responseGrace))
 }
@@ -165,13 +158,13 @@
 		}
 		m.res.headSent = true
 		m.res.status = int(k.Head.GetStatus())
-		m.stream.SetReadDeadline(time.Now().Add(progressTimeout))
-		return false, m.sink.Head(m.res.status, fromHeaders(k.Head.GetHeaders()), k.Head.GetLength())
+		m.stream.SetReadDeadline(time.Now().Add(peer.ProgressTimeout))
+		return false, m.sink.Head(m.res.status, peer.DecodeHeader(k.Head.GetHeaders()), k.Head.GetLength())
 	case *peerpb.Envelope_Chunk:
 		if !m.res.headSent {
 			return true, errors.New("body before head")
 		}
-		m.stream.SetReadDeadline(time.Now().Add(progressTimeout))
+		m.stream.SetReadDeadline(time.Now().Add(peer.ProgressTimeout))
 		if err := m.waitForLink(len(k.Chunk.GetData())); err != nil {
 			return true, err
 		}
@@ -220,46 +213,3 @@
 	m.res.cause = retry.CauseBroken
 	m.res.failure = outcome.New(code, outcome.Unknown, step, m.vm, err)
 }
-
-// chunkWriter sends a body in chunks.
-type chunkWriter struct {
-	stream   *peer.Stream
-	throttle func(bytes int) error
-}
-
-// Write implements io.Writer.
-func (w *chunkWriter) Write(p []byte) (int, error) {
-	sent := 0
-	for sent < len(p) {
-		part := p[sent:min(sent+wire.ChunkSize, len(p))]
-		if err := w.throttle(len(part)); err != nil {
-			return sent, err
-		}
-		w.stream.SetWriteDeadline(time.Now().Add(progressTimeout))
-		if err := w.stream.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Chunk{Chunk: &peerpb.Chunk{Data: part}}}); err != nil {
-			return sent, err
-		}
-		sent += len(part)
-	}
-	return sent, nil
-}
-
-var _ io.Writer = (*chunkWriter)(nil)
-
-func toHeaders(h http.Header) []*peerpb.Header {
-	var out []*peerpb.Header
-	for name, values := range h {
-		for _, v := range values {
-			out = append(out, &peerpb.Header{Name: name, Value: v})
-		}
-	}
-	return out
-}
-
-func fromHeaders(list []*peerpb.Header) http.Header {
-	h := make(http.Header, len(list))
-	for _, field := range list {
-		h.Add(field.GetName(), field.GetValue())
-	}
-	return h
-}
--- a/transport/relay/serve.go
+++ b/transport/relay/serve.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,11 +31,11 @@
 	r, err := parseOpen(open)
 	if err != nil {
 		failure := outcome.New(outcome.CodeBadRequest, outcome.NotRun, "parse request", e.cfg.Self.VM, err)
-		writeRefusal(s, e.RefuseWithTicket(fromHeaders(open.GetHeaders()).Get(outcome.HeaderTicket), failure))
+		writeRefusal(s, e.RefuseWithTicket(peer.DecodeHeader(open.GetHeaders()).Get(outcome.HeaderTicket), failure))
 		return
 	}
-	body := newStreamBody(s, cancel)
-	defer body.stop()
+	body := peer.NewRequestBody(s, cancel)
+	defer body.Stop()
 	if open.GetOwn() {
 		e.serveForwarded(ctx, r, s, body, open)
 		return
@@ -55,19 +52,19 @@
 			return
 		}
 	}
-	body.start()
+	body.Start()
 	res := e.runOnSlot(ctx, slot, r.upstreamRequestForPeer(body, open), &streamSink{stream: s})
 	writeEnd(s, res.failure)
 }
 
 // serveForwarded serves a request as if the caller had sent it to this VM.
-func (e *Engine) serveForwarded(ctx context.Context, r *Request, s *peer.Stream, body *streamBody, open *peerpb.Open) {
+func (e *Engine) serveForwarded(ctx context.Context, r *Request, s *peer.Stream, body *peer.RequestBody, open *peerpb.Open) {
 	if !open.GetEager() {
 		if err := s.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Accepted{Accepted: &peerpb.Accepted{}}}); err != nil {
 			return
 		}
 	}
-	body.start()
+	body.Start()
 	var err error
 	r.Body, err = NewBody(body, open.GetLength())
 	if err != nil {
@@ -134,15 +131,8 @@
 }
 
 func parseOpen(open *peerpb.Open) (*Request, error) {
-	if !validMethod(open.GetMethod()) {
-		return nil, errors.Newf("method %q", open.GetMethod())
-	}
-	target := open.GetTarget()
-	if u, err := url.ParseRequestURI(target); err != nil || !strings.HasPrefix(target, "/") || u.Host != "" || strings.ContainsAny(target, " \r\n") {
-		return nil, errors.Newf("target %q", target)
-	}
-	if strings.ContainsAny(open.GetHost(), " \r\n/") {
-		return nil, errors.Newf("host %q", open.GetHost())
+	if err := peer.CheckRequestLine(open.GetMethod(), open.GetTarget(), open.GetHost()); err != nil {
+		return nil, err
 	}
 	client, err := netip.ParseAddr(open.GetClient())
 	if err != nil {
@@ -152,19 +142,13 @@
 		return nil, errors.Newf("length %d", open.GetLength())
 	}
 	return &Request{
-		Service: open.GetService(), Method: open.GetMethod(), Target: target, Host: open.GetHost(),
-		Header: fromHeaders(open.GetHeaders()), Client: client, Timeout: openTimeout(open),
+		Service: open.GetService(), Method: open.GetMethod(), Target: open.GetTarget(), Host: open.GetHost(),
+		Header: peer.DecodeHeader(open.GetHeaders()), Client: client, Timeout: openTimeout(open),
 		id: open.GetId(), once: open.GetOnce(), deadline: time.Now().Add(openTimeout(open)),
 	}, nil
 }
 
-func validMethod(s string) bool {
-	return s != "" && strings.IndexFunc(s, func(c rune) bool {
-		return (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') && c != '-'
-	}) < 0
-}
-
-func (r *Request) upstreamRequestForPeer(body *streamBody, open *peerpb.Open) *upstream.Request {
+func (r *Request) upstreamRequestForPeer(body *peer.RequestBody, open *peerpb.Open) *upstream.Request {
 	left := max(r.remaining(time.Now()), time.Millisecond)
 	header := EndToEndHeader(r.Header)
 	header.Set(upstream.HeaderTimeout, strconv.FormatInt(left.Milliseconds(), 10))
@@ -183,7 +167,7 @@
 	if cause := f.Unwrap(); cause != nil {
 		message = cause.Error()
 	}
-	s.SetWriteDeadline(time.Now().Add(progressTimeout))
+	s.SetWriteDeadline(time.Now().Add(peer.ProgressTimeout))
 	_ = s.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Refused{Refused: &peerpb.Refused{
 		Code: string(f.Code()), NotRun: f.Run() == outcome.NotRun, Step: f.Step(), Peer: f.Peer(),
 		Message: message, RetryAfterMillis: uint32(f.RetryAfter().Milliseconds()),
@@ -195,70 +179,13 @@
 
 // Head implements Sink.
 func (s *streamSink) Head(status int, header http.Header, length int64) error {
-	s.stream.SetWriteDeadline(time.Now().Add(progressTimeout))
+	s.stream.SetWriteDeadline(time.Now().Add(peer.ProgressTimeout))
 	return s.stream.Write(&peerpb.Envelope{Kind: &peerpb.Envelope_Head{Head: &peerpb.Head{
-		Status: uint32(status), Headers: toHeaders(header), Length: length,
+		Status: uint32(status), Headers: peer.EncodeHeader(header), Length: length,
 	}}})
 }
 
 // Write implements io.Writer.
 func (s *streamSink) Write(p []byte) (int, error) {
-	w := chunkWriter{stream: s.stream, throttle: func(int) error { return nil }}
-	return w.Write(p)
-}
-
-// streamBody reads a request body from a stream. Its read loop continues after
-// the end of the body, to detect that the opener closes the stream.
-type streamBody struct {
-	stream  *peer.Stream
-	cancel  context.CancelFunc
-	reader  *io.PipeReader
-	writer  *io.PipeWriter
-	done    chan struct{}
-	started bool
-}
-
-func newStreamBody(s *peer.Stream, cancel context.CancelFunc) *streamBody {
-	r, w := io.Pipe()
-	return &streamBody{stream: s, cancel: cancel, reader: r, writer: w, done: make(chan struct{})}
-}
-
-func (b *streamBody) start() {
-	b.started = true
-	go b.readLoop()
-}
-
-// stop ends the read loop. The stream cannot be read afterwards.
-func (b *streamBody) stop() {
-	_ = b.reader.CloseWithError(io.ErrClosedPipe)
-	if b.started {
-		b.stream.SetReadDeadline(time.Unix(1, 0))
-		<-b.done
-	}
-}
-
-// Read implements io.Reader.
-func (b *streamBody) Read(p []byte) (int, error) { return b.reader.Read(p) }
-
-func (b *streamBody) readLoop() {
-	defer close(b.done)
-	for {
-		e, err := b.stream.Read()
-		if err != nil {
-			// The body is incomplete without an End.
-			_ = b.writer.CloseWithError(io.ErrUnexpectedEOF)
-			b.cancel()
-			return
-		}
-		switch k := e.GetKind().(type) {
-		case *peerpb.Envelope_Chunk:
-			if _, err := b.writer.Write(k.Chunk.GetData()); err != nil {
-				continue // The body has no reader; wait for the end of the stream.
-			}
-		case *peerpb.Envelope_End:
-			_ = b.writer.Close()
-		default:
-			_ = b.writer.CloseWithError(errors.Newf("unexpected message %T in a body", k))
-		}
-	}
+	return peer.NewChunkWriter(s.stream, nil).Write(p)
 }
