--- a/coordination/poison/history.go
+++ b/coordination/poison/history.go
@@ -55,6 +55,15 @@
 	return suspicious
 }
 
+// RetractHangUp undoes RecordHangUp for a hang-up that was not the worker's.
+func (m *History) RetractHangUp(f quarantine.Fingerprint) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o := m.lookup(f)
+	o.hangUps = max(o.hangUps-1, 0)
+	m.store(f, o)
+}
+
 // RecordAnswer records that a request was answered, and reports whether this cleared
 // earlier hang-ups.
 func (m *History) RecordAnswer(f quarantine.Fingerprint) bool {
--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -153,12 +153,18 @@
 		return false
 	}
 	l.noExitDuring = s
+	l.discardExit(s.contains)
+	return true
+}
+
+// discardExit discards the last suspected exit and restores the one before, unless wrong
+// returns true for its time.
+func (l *Load) discardExit(wrong func(at time.Time) bool) {
 	previous := l.previousExit
-	if s.contains(previous.at) {
+	if wrong(previous.at) {
 		previous = exit{}
 	}
 	l.exitedAt, l.respondedAt, l.uncertain, l.previousExit = previous.at, previous.respondedAt, previous.uncertain, exit{}
-	return true
 }
 
 // lastExit returns when the worker's process last seemed to have exited, zero if never.
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -23,6 +23,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -181,6 +182,8 @@
 	Refused(res *http.Response) (Kind, bool)
 	// MatchesRequest reports whether a response is the one to the request.
 	MatchesRequest(req *Request, res *http.Response) bool
+	// CheckRequest returns a request without a body that a worker answers but does not run.
+	CheckRequest() *Request
 	// AllowsCloseDelimited reports whether a response may have neither a length nor
 	// chunked encoding, so that closing the connection ends its body.
 	AllowsCloseDelimited() bool
@@ -206,6 +209,11 @@
 // MatchesRequest implements Dialect.
 func (defaultDialect) MatchesRequest(*Request, *http.Response) bool { return true }
 
+// CheckRequest implements Dialect.
+func (defaultDialect) CheckRequest() *Request {
+	return &Request{Method: http.MethodOptions, Target: "*", Header: http.Header{"Connection": {"close"}}}
+}
+
 // AllowsCloseDelimited implements Dialect. Close-delimited bodies are not allowed, since
 // a truncated one could not be told from a complete one (RFC 9112, section 6.3).
 func (defaultDialect) AllowsCloseDelimited() bool { return false }
@@ -295,11 +303,11 @@
 
 // connect returns an idle connection that may be used for the request, or else
 // opens a new one.
-func (c *Client) connect(ctx context.Context, w Worker, atMostOnce bool) (*conn, error) {
+func (c *Client) connect(ctx context.Context, w Worker, req *Request) (*conn, error) {
 	p := c.pool(w.Address)
 	p.closeOlderThan(w.Start)
 	idleLimit := c.cfg.IdleTimeout
-	if atMostOnce {
+	if req.AtMostOnce {
 		idleLimit = min(idleLimit, c.cfg.AtMostOnceMaxIdle)
 	}
 	foundClosed := false
@@ -314,6 +322,9 @@
 		idle.close()
 		foundClosed = true
 	}
+	if req.ReuseOnly {
+		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: ErrNoIdleConnection}
+	}
 	created, err := c.open(ctx, p, w)
 	if err != nil {
 		return nil, err
@@ -361,6 +372,34 @@
 	return nil
 }
 
+// checkTimeout limits a check, apart from opening the connection.
+const checkTimeout = 400 * time.Millisecond
+
+// Check reports whether a worker answers on a new connection. It sends the request of
+// Dialect.CheckRequest, and takes any byte for an answer.
+func (c *Client) Check(ctx context.Context, w Worker) error {
+	checked, err := c.open(ctx, c.pool(w.Address), w)
+	if err != nil {
+		return err
+	}
+	defer checked.close()
+	stop := context.AfterFunc(ctx, checked.close)
+	defer stop()
+	_ = checked.raw.SetDeadline(time.Now().Add(checkTimeout))
+	out := bufio.NewWriter(checked.raw)
+	err = c.cfg.Dialect.CheckRequest().writeHead(out)
+	if err == nil {
+		err = out.Flush()
+	}
+	if err == nil {
+		_, err = checked.reader.Peek(1)
+	}
+	if err != nil {
+		return &Error{kind: KindUnreachable, notRun: true, step: "check", worker: w.ID, cause: err}
+	}
+	return nil
+}
+
 // closeOlderThan closes all idle connections if start is that of a newer process
 // than any seen before.
 func (p *pool) closeOlderThan(start uint64) {
@@ -454,4 +493,7 @@
 	c.close()
 }
 
+// ErrNoIdleConnection is the cause of an error of a request with ReuseOnly.
+var ErrNoIdleConnection = errors.New("no idle connection")
+
 var errClosed = errors.New("upstream closed the connection")
--- a/transport/upstream/dialect_test.go
+++ b/transport/upstream/dialect_test.go
@@ -27,6 +27,10 @@
 	return res.Header.Get("Number") == req.Header.Get("Number") || res.StatusCode == http.StatusMisdirectedRequest
 }
 
+func (numberedDialect) CheckRequest() *upstream.Request {
+	return &upstream.Request{Method: http.MethodGet, Target: "/check", Host: "check"}
+}
+
 func (numberedDialect) AllowsCloseDelimited() bool { return true }
 
 func newNumberedClient(t *testing.T, maxIdle time.Duration) *upstream.Client {
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -34,6 +34,8 @@
 	ResponseHeaderTimeout time.Duration
 	// AtMostOnce is set for a request that must not be run more than once.
 	AtMostOnce bool
+	// ReuseOnly is set if no new connection may be opened.
+	ReuseOnly bool
 }
 
 // Response is the response of an upstream. Close must be called.
@@ -43,7 +45,7 @@
 	status      int
 	header      http.Header
 	length      int64
-	body        *responseBody
+	body        io.ReadCloser
 }
 
 // Status returns the HTTP status.
@@ -67,14 +69,15 @@
 
 // Close ends the exchange. The connection is reused only if the body was read to
 // its end and the request was sent completely.
-func (r *Response) Close() { r.body.close() }
+func (r *Response) Close() { _ = r.body.Close() }
 
 // exchange is one request and its response on one connection.
 type exchange struct {
-	client *Client
-	conn   *conn
-	worker Worker
-	req    *Request
+	client  *Client
+	conn    *conn
+	worker  Worker
+	req     *Request
+	begunAt time.Time
 	// writeStarted is set before the first byte is written to the connection.
 	writeStarted  atomic.Bool
 	sendDone      chan struct{}
@@ -88,11 +91,11 @@
 // Every error is an *Error. Canceling ctx at any time, even while the response
 // body is read, closes the connection, so that the upstream can stop its work.
 func (c *Client) Do(ctx context.Context, w Worker, req *Request) (*Response, error) {
-	conn, err := c.connect(ctx, w, req.AtMostOnce)
+	conn, err := c.connect(ctx, w, req)
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{client: c, conn: conn, worker: w, req: req, sendDone: make(chan struct{})}
+	x := &exchange{client: c, conn: conn, worker: w, req: req, begunAt: c.cfg.Now(), sendDone: make(chan struct{})}
 	x.detachContext = context.AfterFunc(ctx, conn.abort)
 	go x.send()
 	res, err := x.readHead() //nolint:bodyclose // Response.Close ends the exchange with its connection.
@@ -124,10 +127,22 @@
 	default:
 		e.peerClosed = isPeerClosed(err)
 	}
-	if x.bodyErr == nil && ctx.Err() == nil && isConnectionFailure(err) {
+	x.observeFailure(ctx, err)
+	return e
+}
+
+// unansweredAfter is how long a worker must not have answered for Observer.Unanswered.
+const unansweredAfter = 800 * time.Millisecond
+
+// observeFailure tells the observer of an exchange that ended before the response header.
+func (x *exchange) observeFailure(ctx context.Context, err error) {
+	switch {
+	case x.bodyErr != nil:
+	case ctx.Err() == nil && isConnectionFailure(err):
 		x.client.cfg.Observer.Broken(x.worker, err)
+	case ctx.Err() != nil && x.client.cfg.Now().Sub(x.begunAt) >= unansweredAfter:
+		x.client.cfg.Observer.Unanswered(x.worker)
 	}
-	return e
 }
 
 // isPeerClosed reports whether a connection failed because the peer closed or
@@ -243,7 +258,7 @@
 func (x *exchange) send() {
 	defer close(x.sendDone)
 	out := bufio.NewWriterSize(&deadlineWriter{x}, 32<<10)
-	err := x.writeHead(out)
+	err := x.req.writeHead(out)
 	if err == nil && x.req.Body != nil {
 		err = x.writeBody(out)
 	}
@@ -266,8 +281,7 @@
 	}
 }
 
-func (x *exchange) writeHead(out *bufio.Writer) error {
-	r := x.req
+func (r *Request) writeHead(out *bufio.Writer) error {
 	_, _ = out.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if err := r.Header.Write(out); err != nil {
 		return err
@@ -352,14 +366,19 @@
 	case errors.Is(err, io.EOF):
 		b.complete = true
 	case err != nil:
+		if isConnectionFailure(err) || errors.Is(err, io.ErrUnexpectedEOF) {
+			b.exchange.client.cfg.Observer.Broken(b.exchange.worker, err)
+		}
 		err = &Error{kind: KindBroken, step: "read body", worker: b.exchange.worker.ID, cause: err}
 	}
 	return n, err
 }
 
-func (b *responseBody) close() {
+// Close implements io.Closer.
+func (b *responseBody) Close() error {
 	b.closeOnce.Do(func() {
 		reuse := b.reusable && b.complete && b.exchange.fullySent()
 		b.exchange.release(reuse && b.exchange.conn.reader.Buffered() == 0)
 	})
+	return nil
 }
--- a/transport/upstream/observer.go
+++ b/transport/upstream/observer.go
@@ -26,6 +26,9 @@
 	// Broken reports that a connection failed before the response header, though neither
 	// the caller nor this client had closed it.
 	Broken(w Worker, err error)
+	// Unanswered reports that an exchange was canceled or timed out after the worker had
+	// not answered for a while, on a connection that seemed sound.
+	Unanswered(w Worker)
 }
 
 // noObserver is the default Observer of a Client.
@@ -35,6 +38,7 @@
 func (noObserver) OpenFailed(Worker, error)    {}
 func (noObserver) Responded(Worker, time.Time) {}
 func (noObserver) Broken(Worker, error)        {}
+func (noObserver) Unanswered(Worker)           {}
 
 // Results of connections, as shown in metrics.
 const (
