worker, gateway: an isolated VM passes on the exits that others have reported

Found by reading: exits since the begin of an isolation were withheld, also those that another VM had observed, so a watcher without a way to workers told its region of none; and they were voided with its own. An exit remembers whether another VM has reported it.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -49,7 +49,7 @@
 			// the time.
 			message.LeavingMillis = millis(max(leaving.Until.Sub(now)+time.Millisecond, 0))
 		}
-		if exit := signals.Exit; exit.At.Before(verified) && exit.Unconfirmed(confirmed, now) {
+		if exit := signals.Exit; (!exit.Own || exit.At.Before(verified)) && exit.Unconfirmed(confirmed, now) {
 			message.EndedMillis, message.ReturnedMillis = millisSince(now, exit.At), millisSince(now, exit.RespondedAt)
 			message.LivedFromMillis, message.LivedToMillis = millisSince(now, exit.NoExitDuring.From), millisSince(now, exit.NoExitDuring.To)
 		}
--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -187,7 +187,7 @@
 off soak-limit internal/gateway/gateway.go 'Demand: g.balancer.meter, Permits: g.permits,' 'Demand: g.balancer.meter,' ./platform 'TestSoak$/seed_21004'
 off lapsed-tells-of-no-end coordination/placement/placement.go 'if !w.Confirmed.IsZero() {' 'if false {' ./internal/gateway TestLapsedEntryTells
 off ends-heeded-at-once state/worker/exit.go 'return unconfirmed && (silent ||' 'return unconfirmed && silent && (silent ||' ./internal/gateway TestWorkerThatReturnsAs
-off ended-told internal/gateway/signals.go 'exit := signals.Exit; exit.At.Before(verified) && exit.Unconfirmed(' 'exit := signals.Exit; false && exit.Unconfirmed(' ./internal/gateway TestVMsShareSuspectedExits
+off ended-told internal/gateway/signals.go 'exit := signals.Exit; (!exit.Own || exit.At.Before(verified)) && exit.Unconfirmed(' 'exit := signals.Exit; false && exit.Unconfirmed(' ./internal/gateway TestVMsShareSuspectedExits
 off exit-until-start-shows state/worker/exit.go 'started.Add(startPropagation))' 'started)' ./state/worker TestColdAfterClosedPort
 off exit-known-by-peers state/worker/signal.go 'case l.uncertain && l.exitedAt' 'case false && l.exitedAt' ./state/worker TestPeerConfirms
 off exit-stays-certain state/worker/exit.go 'first && !l.certainExitInForce()' 'first' ./state/worker TestLostResponseAfterExit
--- a/state/worker/availability.go
+++ b/state/worker/availability.go
@@ -147,6 +147,7 @@
 	shared.Leaving = l.signals.leaving
 	if last := l.lastExit(); l.now().Sub(last) < maxUnconfirmedCold {
 		shared.Exit.At, shared.Exit.Uncertain = last, l.uncertain
+		shared.Exit.Own = !l.exitReported || last.Sub(l.exitedAt) > duplicateSignalWindow
 		if l.respondedAt.After(last) {
 			shared.Exit.RespondedAt = l.respondedAt
 		}
--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -79,16 +79,16 @@
 
 // exit is a suspected exit of a process and the first response after it at any VM.
 type exit struct {
-	at, respondedAt time.Time
-	uncertain       bool
+	at, respondedAt     time.Time
+	uncertain, reported bool
 }
 
 // recordExit records a suspected exit, which may be retracted later.
 func (l *Load) recordExit(at time.Time) {
 	if l.previousExit.at.IsZero() || at.Sub(l.previousExit.at) >= maxUnconfirmedCold {
-		l.previousExit = exit{l.exitedAt, l.respondedAt, l.uncertain}
+		l.previousExit = exit{l.exitedAt, l.respondedAt, l.uncertain, l.exitReported}
 	}
-	l.exitedAt = at
+	l.exitedAt, l.exitReported = at, false
 }
 
 // MayBeCold reports whether the worker may be a process that has just started although the
@@ -164,7 +164,7 @@
 	if wrong(previous.at) {
 		previous = exit{}
 	}
-	l.exitedAt, l.respondedAt, l.uncertain, l.previousExit = previous.at, previous.respondedAt, previous.uncertain, exit{}
+	l.exitedAt, l.respondedAt, l.uncertain, l.exitReported, l.previousExit = previous.at, previous.respondedAt, previous.uncertain, previous.reported, exit{}
 }
 
 // lastExit returns when the worker's process last seemed to have exited, zero if never.
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -120,6 +120,7 @@
 	respondedAt    time.Time // first response after the exit at any VM
 	previousExit   exit      // restored if the last exit is retracted
 	uncertain      bool      // set if one closed connection is the only evidence
+	exitReported   bool      // set if another VM has observed the exit at exitedAt
 	provenAlive    Span
 	noExitDuring   Span // refutes suspected exits within it
 	signals        signals
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -64,6 +64,8 @@
 	// Uncertain is set if the only evidence is one closed connection, which may have failed
 	// alone.
 	Uncertain bool
+	// Own is set if no other VM has reported the exit.
+	Own bool
 }
 
 // Unconfirmed reports whether the store, which last confirmed the known entries at the
@@ -157,12 +159,15 @@
 	case l.isNewExit(e.At):
 		first = true
 		l.recordExit(e.At)
-		l.uncertain = false
+		l.uncertain, l.exitReported = false, true
 		l.retractOutlivedExit(l.provenAlive)
 	case l.uncertain && l.exitedAt.Sub(e.At) <= duplicateSignalWindow:
 		first = true
 		l.uncertain = false
 	}
+	if !e.At.IsZero() && l.exitedAt.Sub(e.At).Abs() <= duplicateSignalWindow {
+		l.exitReported = true
+	}
 	noResponse := l.respondedAt.Before(l.lastExit())
 	if e.RespondedAt.After(l.lastExit()) && (noResponse || e.RespondedAt.Before(l.respondedAt)) {
 		l.respondedAt = e.RespondedAt
--- a/state/worker/void.go
+++ b/state/worker/void.go
@@ -18,8 +18,8 @@
 	})
 }
 
-// VoidExits discards the exits of processes that this VM has suspected since a time. Those
-// that other VMs have observed are learned again from them.
+// VoidExits discards the exits of processes that this VM has suspected since a time, but
+// not those that another VM has reported.
 func (l *Loads) VoidExits(since time.Time) {
 	l.each(func(load *Load) {
 		load.mu.Lock()
@@ -28,7 +28,7 @@
 			load.refusedAt = time.Time{}
 		}
 		isVoid := func(at time.Time) bool { return !at.IsZero() && !at.Before(since) }
-		if isVoid(load.exitedAt) {
+		if isVoid(load.exitedAt) && !load.exitReported {
 			load.discardExit(isVoid)
 		}
 	})
