--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -202,24 +202,34 @@
 func (g *Gateway) Forward(ctx context.Context, r forward.Request, workerRegion string, allows func(region string) bool) (*upstream.Response, string, error) {
 	candidates, isolatedThere := g.proxyCandidates()
 	demand := reach.Demand{Region: g.region(), IsolatedThere: isolatedThere, WorkerRegion: workerRegion, Allows: allows}
-	res, proxy, err := (*upstream.Response)(nil), "", ingress.ErrNoProxy
+	proxy, err := "", ingress.ErrNoProxy
 	for range maxProxies {
 		chosen, ok := g.isolation.proxies.Acquire(candidates, demand)
 		if !ok {
 			break
 		}
 		proxy = chosen.ID
-		res, err = forward.Do(ctx, g.peers, peer.Target{VM: chosen.ID, Address: chosen.Address}, r)
-		if err == nil {
-			g.confirmIsolation()
-			return res.OnClose(func() { g.isolation.proxies.Release(chosen.ID) }), proxy, nil
+		var res *upstream.Response
+		if res, err = g.forwardVia(ctx, chosen, r); err == nil {
+			return res, proxy, nil
 		}
-		g.isolation.proxies.Release(chosen.ID)
 		if !g.avoidProxy(chosen.ID, err) || !rewind(r.Exchange.Body) || ctx.Err() != nil {
 			break
 		}
 	}
-	return res, proxy, err
+	return nil, proxy, err
+}
+
+// forwardVia sends a request by way of a proxy that was acquired, and releases it at the end.
+func (g *Gateway) forwardVia(ctx context.Context, proxy reach.Proxy, r forward.Request) (*upstream.Response, error) {
+	release := func() { g.isolation.proxies.Release(proxy.ID) }
+	res, err := forward.Do(ctx, g.peers, peer.Target{VM: proxy.ID, Address: proxy.Address}, r)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	g.confirmIsolation()
+	return res.OnClose(release), nil
 }
 
 // avoidProxy avoids a proxy for a time if it has not sent a request, and reports whether
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -36,8 +36,12 @@
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
-// maxTimeout bounds the timeout that a peer may set.
-const maxTimeout = time.Hour
+const (
+	// maxTimeout bounds the timeout that a peer may set.
+	maxTimeout = time.Hour
+	// openTimeout limits the opening of a session to a proxy, which takes two round trips.
+	openTimeout = time.Second
+)
 
 // Request is a request to forward.
 type Request struct {
@@ -99,7 +103,9 @@
 // read. Errors are of type *upstream.Error if the exchange between proxy and worker failed,
 // and *Error otherwise. Canceling ctx at any time ends the exchange.
 func Do(ctx context.Context, peers Opener, proxy peer.Target, r Request) (*upstream.Response, error) {
-	stream, err := peers.Open(ctx, proxy, &peerpb.Envelope{Kind: &peerpb.Envelope_Forward{Forward: encode(r)}})
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	stream, err := peers.Open(openCtx, proxy, &peerpb.Envelope{Kind: &peerpb.Envelope_Forward{Forward: encode(r)}})
 	if err != nil {
 		return nil, &Error{proxy: proxy.VM, notRun: errors.Is(err, peer.ErrUnreachable), cause: errors.Wrap(err, "open stream")}
 	}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -236,7 +236,8 @@
 		q.holdProxyFailure(c, failed, f)
 		return
 	}
-	if f.ownPath = caused && !q.handler.cfg.Reach.Conclusive(q.sentAt); f.ownPath {
+	f.ownPath = caused && !q.handler.cfg.Reach.Conclusive(q.sentAt)
+	if f.ownPath {
 		return
 	}
 	q.handler.blame(failedExchange{requestID: q.id, worker: c.Worker(), target: target, load: c.Load(), err: failed})
--- a/transport/ingress/forward.go
+++ b/transport/ingress/forward.go
@@ -49,24 +49,24 @@
 func (q *request) exchange(ctx context.Context, c placement.Choice, target upstream.Worker) (*upstream.Response, error) {
 	q.proxy = ""
 	cfg, w := &q.handler.cfg, c.Worker()
-	exchange := q.upstreamRequest(w.ID)
+	req := q.upstreamRequest(w.ID)
 	if !cfg.Reach.Isolated() {
-		return cfg.Upstreams.Do(ctx, target, exchange)
+		return cfg.Upstreams.Do(ctx, target, req)
 	}
 	if cfg.Reach.OpenConnectionsWork() {
-		exchange.ReuseOnly = true
-		res, err := cfg.Upstreams.Do(ctx, target, exchange)
+		req.ReuseOnly = true
+		res, err := cfg.Upstreams.Do(ctx, target, req)
 		if !errors.Is(err, upstream.ErrNoIdleConnection) {
 			return res, err
 		}
 	}
-	return q.forward(ctx, w, target, exchange)
+	return q.forward(ctx, w, target, req)
 }
 
 // forward sends the request by way of another VM.
-func (q *request) forward(ctx context.Context, w worker.Worker, target upstream.Worker, exchange *upstream.Request) (*upstream.Response, error) {
+func (q *request) forward(ctx context.Context, w worker.Worker, target upstream.Worker, req *upstream.Request) (*upstream.Response, error) {
 	r := forward.Request{
-		ID: q.id, Worker: target, Exchange: exchange, Timeout: q.remaining(),
+		ID: q.id, Worker: target, Exchange: req, Timeout: q.remaining(),
 		Suspect: forward.Suspect{
 			Fingerprint: q.fingerprint(), TargetHash: quarantine.HashTarget(q.req.Host, q.req.RequestURI), Subject: q.subject(),
 		},
