rollout: no version is shifted or proved while most VMs reach no worker

Traced by the logs: all VMs were isolated from 2 s after the order to its deadline, so nobody judged the version, and the clock alone shifted it and proved it ('proved by 0 answers') 0.1 s before the workers were reached again. The order waits now, and tries and shifts anew afterwards.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -114,6 +114,8 @@
 	// Report is the merged report of the VMs, and VMs the number of live VMs.
 	Report rollout.Report
 	VMs    int
+	// Isolated is the number of live VMs that reach no worker.
+	Isolated int
 	// Slots are the usable slots of the new version's workers, OldSlots those of the
 	// old version's.
 	Slots, OldSlots int
@@ -196,6 +198,10 @@
 	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
 		d.trialResponses = shiftedResponses(in.Report)
 	}
+	if 2*in.Isolated > in.VMs && (d.Phase() == rollout.PhaseTrial || d.Phase() == rollout.PhaseShift) {
+		d.phaseSince, d.reason = in.Now, fmt.Sprintf("waits since %d of %d VMs reach no worker", in.Isolated, in.VMs)
+		return d.step(in, drain, latency)
+	}
 	switch d.Phase() {
 	case rollout.PhaseOrdered:
 		if in.Slots > 0 {
@@ -209,6 +215,11 @@
 		d.checkDrain(in)
 	default: // final
 	}
+	return d.step(in, drain, latency)
+}
+
+// step returns the current decision.
+func (d *Decider) step(in Inputs, drain, latency time.Duration) Step {
 	return Step{
 		Phase: d.Phase(), WarmUp: d.Phase() == rollout.PhaseTrial && in.TimeLeft < drain+warmUpLead,
 		SlowAfter: slowThresholds(in.Report.Old), CanaryFractions: d.growCanaries(in, latency), Closed: d.closed, Reason: d.reason,
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -286,6 +286,16 @@
 	return candidates, isolatedThere
 }
 
+// countIsolated returns how many VMs reach no worker.
+func countIsolated(members []membership.Member) (n int) {
+	for _, m := range members {
+		if m.Path == membership.PathIsolated {
+			n++
+		}
+	}
+	return n
+}
+
 // withoutIsolated returns the VMs that reach workers, or all if these are too few to serve
 // the clients of the others.
 func withoutIsolated(members []membership.Member) []membership.Member {
--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -376,3 +376,64 @@
 		})
 	}
 }
+
+// Guards against losing requests, or blaming workers, while paths come and go, or while the
+// store is silent as well.
+func TestIsolationsInSeries(t *testing.T) {
+	const (
+		vms, workers = 9, 15
+		span         = 10 * time.Second
+		// minIsolatedRatio and minShare are those of TestIsolatedVMsServeThroughOthers.
+		minIsolatedRatio, minShare = 2.0 / 3, 0.98
+	)
+	isolated := []int{0, 3, 4}
+	cases := map[string]struct {
+		modes []isolationMode
+		every time.Duration
+		quiet bool // whether the store is silent meanwhile
+	}{
+		"resets that come and go":     {[]isolationMode{isolatedByReset, notIsolated}, 900 * time.Millisecond, false},
+		"silence that comes and goes": {[]isolationMode{isolatedBySilence, notIsolated}, 1700 * time.Millisecond, false},
+		"all forms in turn":           {[]isolationMode{isolatedForNew, isolatedByReset, notIsolated, isolatedByRefusal, isolatedBySilence, notIsolated}, 1300 * time.Millisecond, false},
+		"reset without the store":     {[]isolationMode{isolatedByReset}, span, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startIsolationFleet(t, vms, workers)
+			f.load(time.Second, nil)
+			for _, v := range f.vms {
+				v.storeClient.setFailure(false, c.quiet)
+			}
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for i := 0; ; i++ {
+					f.setMode(isolated, c.modes[i%len(c.modes)])
+					select {
+					case <-stop:
+						return
+					case <-time.After(c.every):
+					}
+				}
+			}()
+			there, elsewhere := f.load(span, isolated)
+			close(stop)
+			<-stopped
+			t.Logf("isolated VMs served %d of %d requests, other VMs %d of %d", there.served, there.sent, elsewhere.served, elsewhere.sent)
+			if elsewhere.share() < minShare || there.share() < minIsolatedRatio*elsewhere.share() {
+				t.Errorf("isolated VMs served %d of %d requests, other VMs %d of %d", there.served, there.sent, elsewhere.served, elsewhere.sent)
+			}
+			for _, v := range f.vms {
+				if n := v.QuarantineCount(); n > 0 {
+					t.Errorf("%s holds %d requests in quarantine, though none ended a worker", v.name, n)
+				}
+			}
+			f.setMode(isolated, notIsolated)
+			f.load(4*time.Second, nil)
+			if there, elsewhere := f.load(time.Second, isolated); there.share() < minShare || elsewhere.share() < minShare {
+				t.Errorf("afterwards isolated VMs served %d of %d requests, other VMs %d of %d", there.served, there.sent, elsewhere.served, elsewhere.sent)
+			}
+		})
+	}
+}
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -109,8 +109,9 @@
 		o.decider = rolling.NewDecider(rolling.DeciderConfig{Order: held})
 	}
 	previous, timeLeft := o.decider.Phase(), deadline.Sub(now)
+	live := g.liveMembers()
 	step := o.decider.Decide(rolling.Inputs{
-		Now: now, TimeLeft: timeLeft, Report: *report, VMs: len(g.liveMembers()), Slots: g.usableSlots(o.service, worker.TrackNew), OldSlots: g.usableSlots(o.service, worker.TrackStable),
+		Now: now, TimeLeft: timeLeft, Report: *report, VMs: len(live), Isolated: countIsolated(live), Slots: g.usableSlots(o.service, worker.TrackNew), OldSlots: g.usableSlots(o.service, worker.TrackStable),
 	})
 	if step.Phase != previous {
 		g.log.Info("rollout: "+step.Phase.String(), "service", o.service, "version", o.name, "reason", step.Reason,
