--- a/scripts/switch-off.sh
+++ b/scripts/switch-off.sh
@@ -120,7 +120,7 @@
 off tree-depth internal/gateway/sync.go 'request.GetHoldMillis() > 0 && request.GetDepth() <= 1' 'request.GetHoldMillis() > 0' ./internal/gateway 'TestDeepTree$'
 off turns-at-the-start internal/gateway/start.go 'min(time.Duration(rank)*listStagger, maxListDelay)' 'min(0*time.Duration(rank), maxListDelay)' ./internal/gateway TestAllVMsReturn
 off packed-is-news internal/gateway/sync.go '|| len(d.GetPacked()) > 0' '' ./internal/gateway TestLargeDeltas
-off ended-workers-told transport/ingress/blame.go 'x.load.MarkAddressReused()' '' ./internal/gateway TestVMsShareThat
+off ended-workers-told transport/ingress/evidence.go 'x.load.MarkAddressReused()' '' ./internal/gateway TestVMsShareThat
 off keys-handed-over coordination/placement/handover.go 'rand.Float64() < max(' 'rand.Float64() < 1+max(' ./coordination/placement TestKeysAreHandedOver
 off gate-of-all-kinds internal/gateway/storebackoff.go 'if b.failures == 0 {' 'if b.failures >= 0 {' ./internal/gateway TestCallsToAStore
 off no-copies-for-a-region state/object/replica.go 'd.Listed, d.Listing = true, k.listing()
@@ -191,7 +191,7 @@
 off exit-until-start-shows state/worker/exit.go 'started.Add(startPropagation))' 'started)' ./state/worker TestColdAfterClosedPort
 off exit-known-by-peers state/worker/signal.go 'case l.uncertain && l.exitedAt' 'case false && l.exitedAt' ./state/worker TestPeerConfirms
 off exit-stays-certain state/worker/exit.go 'first && !l.certainExitInForce()' 'first' ./state/worker TestLostResponseAfterExit
-off exit-probed transport/ingress/blame.go 'go h.probeForExit(x)' '' ./internal/gateway TestOneBrokenConnection
+off exit-probed transport/ingress/evidence.go 'go h.probeForExit(x)' '' ./internal/gateway TestOneBrokenConnection
 off confirmed-as-compiled internal/gateway/gateway.go 'g.replica.ConfirmedAtMark(cfg.Codec.WorkerKind(), s.WorkersMark)' 'g.replica.ConfirmedAt(cfg.Codec.WorkerKind())' ./internal/gateway TestConfirmationAppliesWith
 off keys-as-compiled internal/gateway/keys.go 'inUse = s.RoutesMark' 'inUse, _ = g.replica.Mark(g.cfg.Codec.ConfigKind()), s' ./internal/gateway TestKeysOfConfiguration
 off served-does-not-watch internal/gateway/watchers.go '&& clock.Since(w.parentReply) >= parentReplyValidity' '' ./internal/gateway TestVMServedByItsParent
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -221,26 +221,26 @@
 		f.peerClosed = !f.clientGone && failed.PeerClosed()
 	case upstream.KindRequestBody:
 	}
-	q.holdAgainstWorker(c, target, failed, f)
+	q.recordWorkerFailure(c, target, failed, f)
 	return f
 }
 
-// holdAgainstWorker updates what this VM knows of a worker after a failed exchange, as far
+// recordWorkerFailure updates what this VM knows of a worker after a failed exchange, as far
 // as the failure says anything about the worker.
-func (q *request) holdAgainstWorker(c placement.Choice, target upstream.Worker, failed *upstream.Error, f *failure) {
+func (q *request) recordWorkerFailure(c placement.Choice, target upstream.Worker, failed *upstream.Error, f *failure) {
 	caused := failed.Kind() == upstream.KindUnreachable || failed.Kind() == upstream.KindBroken
 	if f.clientGone && caused {
 		return
 	}
 	if q.proxy != "" {
-		q.holdProxyFailure(c, failed, f)
+		q.recordProxyFailure(c, failed, f)
 		return
 	}
 	f.ownPath = caused && !q.handler.cfg.Reach.Conclusive(q.sentAt)
 	if f.ownPath {
 		return
 	}
-	q.handler.blame(failedExchange{requestID: q.id, worker: c.Worker(), target: target, load: c.Load(), err: failed})
+	q.handler.recordFailedExchange(failedExchange{requestID: q.id, worker: c.Worker(), target: target, load: c.Load(), err: failed})
 	if f.peerClosed {
 		q.reportHangUp(c)
 	}
--- a/transport/ingress/blame.go
+++ b/transport/ingress/evidence.go
@@ -55,9 +55,9 @@
 	err       *upstream.Error
 }
 
-// blame holds a failed exchange against its worker: it is paused, the failure counts for
+// recordFailedExchange updates the state of a worker after a failed exchange: it is paused, the failure counts for
 // its ejection, and its process may have exited.
-func (h *Handler) blame(x failedExchange) {
+func (h *Handler) recordFailedExchange(x failedExchange) {
 	switch x.err.Kind() {
 	case upstream.KindLeaving:
 		x.load.RecordFailure()
--- a/transport/ingress/forward.go
+++ b/transport/ingress/forward.go
@@ -108,9 +108,9 @@
 	}
 }
 
-// holdProxyFailure updates what this VM knows of a worker after an exchange of a proxy with
+// recordProxyFailure updates what this VM knows of a worker after an exchange of a proxy with
 // it failed. The proxy reports the failure, so it counts for this VM's own choices only.
-func (q *request) holdProxyFailure(c placement.Choice, failed *upstream.Error, f *failure) {
+func (q *request) recordProxyFailure(c placement.Choice, failed *upstream.Error, f *failure) {
 	switch failed.Kind() {
 	case upstream.KindUnreachable, upstream.KindBroken, upstream.KindLeaving, upstream.KindWrongWorker:
 		c.Load().RecordFailure()
@@ -200,7 +200,7 @@
 	target := x.handler.target(s, *w)
 	res, err := cfg.Upstreams.Do(ctx, target, r.Exchange)
 	if err != nil {
-		x.hold(ctx, r, *w, target, err)
+		x.recordFailure(ctx, r, *w, target, err)
 		return nil, err
 	}
 	x.load.RecordOutcome(countsAgainstWorker(res.Status()))
@@ -208,15 +208,15 @@
 	return res, nil
 }
 
-// hold holds a failed exchange against its worker and request, as if a client of this VM
+// recordFailure records a failed exchange against its worker and request, as if a client of this VM
 // had sent it.
-func (x *forwardedExchange) hold(ctx context.Context, r forward.Request, w worker.Worker, target upstream.Worker, err error) {
+func (x *forwardedExchange) recordFailure(ctx context.Context, r forward.Request, w worker.Worker, target upstream.Worker, err error) {
 	h := x.handler
 	var failed *upstream.Error
 	if !errors.As(err, &failed) || ctx.Err() != nil || !h.cfg.Reach.Conclusive(x.begunAt) {
 		return
 	}
-	h.blame(failedExchange{requestID: r.ID, worker: w, target: target, load: x.load, err: failed})
+	h.recordFailedExchange(failedExchange{requestID: r.ID, worker: w, target: target, load: x.load, err: failed})
 	if failed.PeerClosed() {
 		h.cfg.Metrics.HungUp(w.Service)
 		h.cfg.Quarantine.HungUp(poison.HangUp{
