reach: an isolated VM chooses among eight proxies of a region

Found by reading: two of 300 at random would open a session from each isolated VM to every other one of a large region. Eight that rank first for the VM's name bound that, and differ between VMs. TestVMChoosesAmongFewProxies fails with the choice before: one VM used 50 proxies for 50 requests.

--- a/coordination/reach/proxies.go
+++ b/coordination/reach/proxies.go
@@ -5,14 +5,20 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// maxForwardedPerProxy bounds the requests that one isolated VM has in flight at one
 	// proxy.
 	maxForwardedPerProxy = 64
+	// maxProxyChoices bounds the proxies of a region among which one isolated VM chooses, and
+	// so its sessions with other VMs.
+	maxProxyChoices = 8
 	// defaultLinkMbps is assumed of a VM whose bandwidth is unknown.
 	defaultLinkMbps = 1000
 )
@@ -40,22 +46,25 @@
 
 // Proxies chooses the proxies of an isolated VM. It is safe for concurrent use.
 type Proxies struct {
-	now func() time.Time
+	self string
+	now  func() time.Time
 
 	mu       sync.Mutex
 	inFlight map[string]int
 	avoided  map[string]time.Time
 }
 
-// NewProxies returns Proxies without requests in flight that reads the time from now.
-func NewProxies(now func() time.Time) *Proxies {
-	return &Proxies{now: now, inFlight: make(map[string]int), avoided: make(map[string]time.Time)}
+// NewProxies returns the Proxies of a VM, without requests in flight. It reads the time from
+// now.
+func NewProxies(self string, now func() time.Time) *Proxies {
+	return &Proxies{self: self, now: now, inFlight: make(map[string]int), avoided: make(map[string]time.Time)}
 }
 
 // Acquire chooses a proxy and counts a request at it, until Release is called. Proxies of
 // the VM's own region come first, then those of the worker's region, then others. If the
 // own region has fewer proxies than isolated VMs, a part of the requests goes to other
-// regions. Within a region, the less loaded of two random proxies is chosen.
+// regions. Within a region, the less loaded of two random ones of maxProxyChoices is
+// chosen, which differ between VMs.
 func (p *Proxies) Acquire(proxies []Proxy, d Demand) (Proxy, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -79,7 +88,7 @@
 	}
 	for _, group := range groups {
 		if len(group) > 0 {
-			chosen := p.lessLoaded(group)
+			chosen := p.lessLoaded(p.choices(group))
 			p.inFlight[chosen.ID]++
 			return chosen, true
 		}
@@ -87,6 +96,24 @@
 	return Proxy{}, false
 }
 
+// choices returns the maxProxyChoices proxies of a group that rank first for this VM.
+func (p *Proxies) choices(group []Proxy) []Proxy {
+	if len(group) <= maxProxyChoices {
+		return group
+	}
+	chosen, ranks := make([]Proxy, 0, maxProxyChoices+1), make([]uint64, 0, maxProxyChoices+1)
+	for _, candidate := range group {
+		rank := xxhash.Sum64String(p.self + "/" + candidate.ID)
+		at, _ := slices.BinarySearch(ranks, rank)
+		if at == maxProxyChoices {
+			continue
+		}
+		chosen, ranks = slices.Insert(chosen, at, candidate), slices.Insert(ranks, at, rank)
+		chosen, ranks = chosen[:min(len(chosen), maxProxyChoices)], ranks[:min(len(ranks), maxProxyChoices)]
+	}
+	return chosen
+}
+
 // usable reports whether a proxy may get another request. mu is held.
 func (p *Proxies) usable(candidate Proxy) bool {
 	return p.inFlight[candidate.ID] < maxForwardedPerProxy && !p.now().Before(p.avoided[candidate.ID])
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -274,7 +274,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := reach.NewProxies(newClock().Now)
+			p := reach.NewProxies("vm", newClock().Now)
 			if c.avoid != "" {
 				p.Avoid(c.avoid, time.Second)
 			}
@@ -289,7 +289,7 @@
 // Guards against one proxy that gets the requests of a whole region.
 func TestProxiesShareTheLoad(t *testing.T) {
 	const requests, isolated = 3000, 3
-	p := reach.NewProxies(newClock().Now)
+	p := reach.NewProxies("vm", newClock().Now)
 	list := proxies("north", "south", "south", "south")
 	counts := make(map[string]int)
 	for range requests {
@@ -317,7 +317,7 @@
 
 // Guards against sending bodies by way of a VM with a narrow link while others are idle.
 func TestProxiesWithWideLinksGetMore(t *testing.T) {
-	p := reach.NewProxies(newClock().Now)
+	p := reach.NewProxies("vm", newClock().Now)
 	list := []reach.Proxy{{ID: "narrow", Region: "north", LinkMbps: 10}, {ID: "wide", Region: "north", LinkMbps: 1000}}
 	counts := make(map[string]int)
 	for range 40 {
@@ -328,3 +328,27 @@
 		t.Errorf("requests in flight: %v", counts)
 	}
 }
+
+// Guards against sessions of each isolated VM with all others of a large region, and against a
+// few proxies that serve all isolated VMs.
+func TestVMChoosesAmongFewProxies(t *testing.T) {
+	const proxyCount, isolated, requests, most = 300, 100, 50, 8
+	list := make([]reach.Proxy, proxyCount)
+	for i := range list {
+		list[i] = reach.Proxy{ID: fmt.Sprintf("p%d", i), Region: "north"}
+	}
+	usedByAll := make(map[string]bool)
+	for vm := range isolated {
+		p, used := reach.NewProxies(fmt.Sprintf("vm%d", vm), newClock().Now), make(map[string]bool)
+		for range requests {
+			chosen, _ := p.Acquire(list, reach.Demand{Region: "north", IsolatedThere: isolated})
+			used[chosen.ID], usedByAll[chosen.ID] = true, true
+		}
+		if len(used) > most {
+			t.Fatalf("one VM used %d proxies", len(used))
+		}
+	}
+	if len(usedByAll) < proxyCount*8/10 {
+		t.Errorf("%d VMs used %d of %d proxies", isolated, len(usedByAll), proxyCount)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,7 +145,7 @@
 		meters:   load.NewHallMeters(clock.Now), outlierDetector: outlier.New(outlier.Config{Now: clock.Now}),
 		serveErrors: make(chan error, 1), watchers: newWatchers(), knowledge: newKnowledge(), largeReplies: newLargeReplies(),
 		neighbors: newNeighbors(), deltaCache: newDeltaCache(), relayed: newRelayed(), storeBackoff: &storeBackoff{}, keyFetches: newKeyFetches(),
-		isolation: newIsolation(), rollouts: newRollouts(cfg.Bounds.RolloutShare), unused: newUnused(cfg.Log, cfg.Metrics),
+		isolation: newIsolation(cfg.VM), rollouts: newRollouts(cfg.Bounds.RolloutShare), unused: newUnused(cfg.Log, cfg.Metrics),
 		lifecycle: fsm.NewFSM(phaseStarting, fsm.Events{
 			{Name: "serve", Src: []string{phaseStarting}, Dst: phaseServing},
 			{Name: "leave", Src: []string{phaseStarting, phaseServing}, Dst: phaseLeaving},
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -48,8 +48,8 @@
 	since atomic.Int64
 }
 
-func newIsolation() *isolation {
-	return &isolation{monitor: reach.New(reach.Config{Now: clock.Now}), proxies: reach.NewProxies(clock.Now)}
+func newIsolation(vm string) *isolation {
+	return &isolation{monitor: reach.New(reach.Config{Now: clock.Now}), proxies: reach.NewProxies(vm, clock.Now)}
 }
 
 // isolationLoop checks whether this VM reaches workers while there is doubt.
