--- a/Makefile
+++ b/Makefile
@@ -35,20 +35,22 @@
 # same reason four tests of a package run at a time: a session starts 13 processes.
 # The soak, and the gateway's tests of a store that returns from a copy, run apart from the
 # others of their packages, and so do the tests of rollouts and of a store that turns VMs
-# away, so that each run stays within the time limit.
+# away, and those of VMs that reach no worker, so that each run stays within the time limit.
 # SKIP names tests that are left out, as a pattern; CI sets it from KNOWN-RED.txt.
 TEST := go test -race -p 1 -parallel 4 -timeout 8m
 RETURNS := FromCop|NewEra|GoesBack|WrittenAgain
 SOAK := ^TestSoak
 ORDERS := ^TestSoak.*Order|^TestOrders|VersionIs|TurnsSomeVMsAway
+ISOLATIONS := Isolat|Forwarded|NoVMReachesWorkers
 SKIPPED := $(if $(SKIP),^($(SKIP))$$)
 test:
 	$(TEST) $(if $(SKIP),-skip '$(SKIPPED)') $$(go list ./... | grep -vE '/(internal/gateway|platform)$$' ) ./transport/platform
 	$(TEST) -skip '$(SOAK)$(if $(SKIP),|$(SKIPPED))' ./platform
-	$(TEST) -run '$(SOAK)' -skip '$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./platform
-	$(TEST) -skip '$(RETURNS)|$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
-	$(TEST) -run '$(RETURNS)' -skip '$(ORDERS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
-	$(TEST) -run '$(ORDERS)' $(if $(SKIP),-skip '$(SKIPPED)') ./internal/gateway ./platform
+	$(TEST) -run '$(SOAK)' -skip '$(ORDERS)|$(ISOLATIONS)$(if $(SKIP),|$(SKIPPED))' ./platform
+	$(TEST) -skip '$(RETURNS)|$(ORDERS)|$(ISOLATIONS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
+	$(TEST) -run '$(RETURNS)' -skip '$(ORDERS)|$(ISOLATIONS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway
+	$(TEST) -run '$(ORDERS)' -skip '$(ISOLATIONS)$(if $(SKIP),|$(SKIPPED))' ./internal/gateway ./platform
+	$(TEST) -run '$(ISOLATIONS)' $(if $(SKIP),-skip '$(SKIPPED)') ./internal/gateway ./platform
 
 format: $(LINT)
 	$(LINT) fmt ./...
