--- a/coordination/reach/proxies.go
+++ b/coordination/reach/proxies.go
@@ -119,14 +119,18 @@
 	return p.inFlight[candidate.ID] < maxForwardedPerProxy && !p.now().Before(p.avoided[candidate.ID])
 }
 
-// lessLoaded returns the less loaded of two random proxies, by requests in flight and
+// lessLoaded returns the less loaded of two different random proxies, by requests in flight and
 // bandwidth. mu is held.
 func (p *Proxies) lessLoaded(group []Proxy) Proxy {
-	first, second := group[rand.IntN(len(group))], group[rand.IntN(len(group))]
-	if p.load(second) < p.load(first) {
-		return second
+	first := rand.IntN(len(group))
+	if len(group) == 1 {
+		return group[first]
 	}
-	return first
+	second := (first + 1 + rand.IntN(len(group)-1)) % len(group)
+	if p.load(group[second]) < p.load(group[first]) {
+		return group[second]
+	}
+	return group[first]
 }
 
 func (p *Proxies) load(candidate Proxy) float64 {
