--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -68,19 +68,6 @@
 	maxRepeatedUpdates = 2
 )
 
-// Path says whether a VM reaches workers.
-type Path int
-
-// Paths of a VM to workers.
-const (
-	// PathUnknown is the path of a VM that does not report it. It does not forward requests.
-	PathUnknown Path = iota
-	// PathOpen is the path of a VM that reaches workers and forwards requests to them.
-	PathOpen
-	// PathIsolated is the path of a VM that reaches no worker.
-	PathIsolated
-)
-
 // Member is the membership record of a VM.
 type Member struct {
 	spec.VM
@@ -152,18 +139,6 @@
 	return t.self
 }
 
-// SetPath sets the local VM's path to workers.
-func (t *Table) SetPath(p Path) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.self.Path == p {
-		return
-	}
-	t.self.Path = p
-	t.self.Incarnation++
-	t.notifyChanged()
-}
-
 // Leave marks the local VM as leaving. This cannot be undone.
 func (t *Table) Leave() {
 	t.mu.Lock()
