rollout, ingress: decision records name the track and the step of a choice

A request that was lost at an old worker 2 ms after its order was completed could not be told apart: whether its VM had the step that closes old workers, or no order any more. The record of a request in a rollout says now which workers it could use and what step its VM had then; a record without that line had no order.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -137,6 +137,14 @@
 	Reason string
 }
 
+// String describes the step in decision records.
+func (s Step) String() string {
+	if s.Closed {
+		return "phase " + s.Phase.String() + ", old workers closed"
+	}
+	return "phase " + s.Phase.String()
+}
+
 // Decider advances one order. Its state can be rebuilt by another VM from the reports. It
 // is not safe for concurrent use.
 type Decider struct {
--- a/state/worker/track.go
+++ b/state/worker/track.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 )
 
 // CanaryFraction is the fraction of a service's keys, and of the new workers in each region,
@@ -27,6 +28,20 @@
 	TrackNew
 )
 
+// String names the track in decision records.
+func (t Track) String() string {
+	switch t {
+	case TrackStable:
+		return "old workers"
+	case TrackCanary:
+		return "canary workers"
+	case TrackNew:
+		return "new workers"
+	default:
+		return "track " + strconv.Itoa(int(t))
+	}
+}
+
 // cohort holds the workers of a version that is being rolled out.
 type cohort struct{ all, canaries []*Worker }
 
--- a/transport/ingress/rollout.go
+++ b/transport/ingress/rollout.go
@@ -4,6 +4,8 @@
 package ingress
 
 import (
+	"fmt"
+
 	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/retry"
 	"github.com/ryehill/ryehill/coordination/rollout"
@@ -26,7 +28,9 @@
 // falls back to the stable version, if the rollout allows that.
 func (q *request) place(s *placement.Snapshot, retrying bool) (placement.Choice, placement.Refusal) {
 	if q.splitter != nil {
+		step := q.splitter.Step()
 		q.track = q.splitter.ChooseTrack(q.route.Name, q.key, retrying)
+		q.addInput("rollout", fmt.Sprintf("%s; %s", q.track, step))
 	}
 	choice, refusal := q.handler.cfg.Placer.Place(s, q.placementRequest())
 	if refusal == placement.RefusalNone || q.track == worker.TrackStable {
