--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -33,6 +33,7 @@
 	"time"
 
 	"github.com/ryehill/ryehill/coordination/admission"
+	"github.com/ryehill/ryehill/coordination/rollout"
 	"github.com/ryehill/ryehill/coordination/steer"
 	"github.com/ryehill/ryehill/state/demand"
 	"github.com/ryehill/ryehill/state/holders"
@@ -98,6 +99,9 @@
 	Regions []string
 	// Traffic contains the operators' moves and caps. Nil means none.
 	Traffic *view.View
+	// Splitters contains the splitters of the rollouts in progress, by service. Workers marks
+	// the versions accordingly, so that a request uses both of one snapshot.
+	Splitters map[string]*rollout.Splitter
 	// PinnedShares contains, by region, the fraction of all requests, from 0 to 1, that is
 	// expected to be pinned to the region by the home regions of workspaces. Nil means
 	// none.
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -214,6 +214,54 @@
 	})
 }
 
+// Guards against orders that are completed while a request has chosen an old worker, but is
+// not yet in its load.
+func TestRequestBeingPlacedIsInFlight(t *testing.T) {
+	Convey("Given a proved version", t, func() {
+		s := rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: 0.1, Now: func() time.Time { return time.Unix(1000, 0) }})
+		s.Apply(rolling.Step{Phase: rollout.PhaseProved})
+		end := s.BeginPlacing()
+		s.Apply(rolling.Step{Phase: rollout.PhaseProved, Closed: true})
+		Convey("a request that is placed as old workers close counts until it is in a load", func() {
+			So(s.Report().InFlightOld, ShouldEqual, 1)
+			end()
+			So(s.Report().InFlightOld, ShouldEqual, 0)
+		})
+		Convey("one that is placed later can only go to new workers", func() {
+			end()
+			defer s.BeginPlacing()()
+			So(s.ChooseTrack("r", 1, true), ShouldEqual, worker.TrackNew)
+			So(s.WithdrawChoice(), ShouldBeFalse)
+			So(s.Report().InFlightOld, ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against requests to old workers after this VM has reported that it sends them none,
+// as the step of another decider or its own expiry opened them again.
+func TestClosedWorkersStayClosed(t *testing.T) {
+	cases := map[string]func(s *rolling.Splitter, now *time.Time){
+		"step of a second decider": func(s *rolling.Splitter, _ *time.Time) {
+			s.Apply(rolling.Step{Phase: rollout.PhaseProved})
+		},
+		"no step for a while": func(_ *rolling.Splitter, now *time.Time) { *now = now.Add(time.Minute) },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: 0.1, Now: func() time.Time { return now }})
+			s.Apply(rolling.Step{Phase: rollout.PhaseProved, Closed: true})
+			change(s, &now)
+			if track := s.ChooseTrack("r", 1, false); track != worker.TrackNew {
+				t.Errorf("a request uses the %s", track)
+			}
+			if s.WithdrawChoice() {
+				t.Error("a request that new workers cannot serve goes to old ones")
+			}
+		})
+	}
+}
+
 // Guards against losing requests that new workers cannot serve, or using closed old workers.
 func TestOldWorkersServeWhatNewOnesCannot(t *testing.T) {
 	Convey("A proved version whose workers are full", t, func() {
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -60,6 +60,9 @@
 	// the new version. start is a random fraction of a request that is permitted at
 	// once, so that not all VMs with little traffic begin with none.
 	requests, sent, start float64
+	// placing counts the requests that may go to an old worker and are not yet in the load
+	// of one.
+	placing int
 	// suspended is set once this VM's own requests show that the version is bad.
 	suspended bool
 	analyzer  Analyzer
@@ -79,7 +82,8 @@
 func (s *Splitter) Version() rollout.Version { return s.cfg.Version }
 
 // Apply applies a step of the decider, and reports whether the phase advanced. A step of an
-// earlier phase is ignored.
+// earlier phase is ignored. Once closed, old workers stay closed: this VM may have reported
+// that it has nothing in flight there, after which they may stop.
 func (s *Splitter) Apply(step Step) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +91,7 @@
 		return false
 	}
 	advanced := step.Phase > s.phase
+	step.Closed = step.Closed || !advanced && s.step.Closed
 	s.phase, s.step = step.Phase, step
 	s.expires = s.cfg.Now().Add(stepTTL)
 	if s.phase == rollout.PhaseProved {
@@ -121,7 +126,7 @@
 
 // ChooseTrack returns which workers a request may use. The key is its affinity key's hash, or a
 // random number. A retry goes to the old version unless the new one is proved, so that
-// it does not fail there again.
+// it does not fail there again. A caller that sends the request calls BeginPlacing first.
 func (s *Splitter) ChooseTrack(route string, key uint64, retry bool) worker.Track {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,6 +138,25 @@
 	return track
 }
 
+// BeginPlacing is called before the track of a request is chosen, and the returned function
+// once the request is in the load of its worker or was refused. In between the request is
+// reported as in flight at old workers, unless they are closed.
+func (s *Splitter) BeginPlacing() (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.permitsOld() {
+		return func() {}
+	}
+	s.placing++
+	return s.endPlacing
+}
+
+func (s *Splitter) endPlacing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placing--
+}
+
 func (s *Splitter) selectTrack(route string, key uint64, retry bool) worker.Track {
 	switch s.effectivePhase() {
 	case rollout.PhaseProved, rollout.PhaseCompleted:
@@ -157,10 +181,10 @@
 }
 
 // effectivePhase returns the phase that applies now. An expired step no longer applies,
-// unless its phase is final.
+// unless its phase is final or old workers are closed.
 func (s *Splitter) effectivePhase() rollout.Phase {
 	switch {
-	case s.phase.Final():
+	case s.phase.Final(), s.phase == rollout.PhaseProved && s.step.Closed:
 		return s.phase
 	case s.suspended && s.phase < rollout.PhaseProved, !s.cfg.Now().Before(s.expires):
 		return rollout.PhaseOrdered
@@ -187,6 +211,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent--
+	return s.permitsOld()
+}
+
+// permitsOld reports whether old workers may serve requests that the new ones cannot.
+func (s *Splitter) permitsOld() bool {
 	return s.effectivePhase() < rollout.PhaseProved || s.phase == rollout.PhaseProved && !s.step.Closed
 }
 
@@ -266,13 +295,16 @@
 }
 
 // Report returns this VM's observations. Canary requests in flight that already exceed
-// the slow threshold count as slow.
+// the slow threshold count as slow. InFlightOld counts only requests that are not yet in the
+// load of a worker; the caller adds the loads, and reads them after Report, so that a request
+// which is placed meanwhile counts in one of them.
 func (s *Splitter) Report() rollout.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := rollout.NewReport()
 	r.Merge(s.report)
 	r.VMs[s.phase] = 1
+	r.InFlightOld = s.placing
 	now := s.cfg.Now()
 	for t := range s.inFlight {
 		if t.track == worker.TrackCanary && s.isSlow(t.route, now.Sub(t.started)) {
--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -122,6 +122,7 @@
 	s := &placement.Snapshot{
 		Routes: c.routes, Workers: g.compileWorkers(c, now), RoutesMark: routesMark, WorkersMark: workersMark, Closed: maps.Clone(c.closed), Closing: maps.Clone(c.drainWindows),
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
+		Splitters: g.rollouts.splitters(),
 	}
 	g.snapshot.Store(s)
 	g.compiledConfig.Store(config)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -297,6 +298,16 @@
 // IsClosed reports whether the snapshot in use has a hall as closed.
 func (g *Gateway) IsClosed(hall string) bool { return g.snapshot.Load().Closed[hall] }
 
+// ReplicaObject returns an object of this VM's replica.
+func (g *Gateway) ReplicaObject(kind, name string) (object.Object, bool) {
+	objects := g.replica.Objects(kind)
+	i := slices.IndexFunc(objects, func(o object.Object) bool { return o.Name == name })
+	if i < 0 {
+		return object.Object{}, false
+	}
+	return objects[i], true
+}
+
 // RolloutProgress returns the phase of the order for a service as this VM applies it.
 func (g *Gateway) RolloutProgress(service string) rollout.Phase {
 	if o, ok := g.rollouts.byService(service); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,7 +181,7 @@
 		Demand:     g.balancer.meter,
 		HallMeters: g.meters,
 		VMCount:    func() int { return g.members.Len() + 1 },
-		VM:         cfg.VM, Decisions: g.decisions, StateAge: g.maxReplicaAge, Limiter: g, Keys: g, Quarantine: g.quarantines, Reach: g.isolation.monitor, Forwarder: g, Rollouts: g.rollouts, Now: clock.Now,
+		VM:         cfg.VM, Decisions: g.decisions, StateAge: g.maxReplicaAge, Limiter: g, Keys: g, Quarantine: g.quarantines, Reach: g.isolation.monitor, Forwarder: g, Now: clock.Now,
 		LeavingGrace: g.leavingGrace(), AdmissionByRank: cfg.AdmissionByRank,
 		Retry: retry.Config{Ratio: share.PPM(cfg.Bounds.RetryRatio * retryRatioFraction * float64(share.Whole)), Burst: retryBurst},
 	})
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -403,7 +403,12 @@
 	if s == nil {
 		return r
 	}
-	r.InFlightOld = g.inFlightRequests(s.Workers.Service(o.service))
+	if s.Splitters[o.service] != o.splitter {
+		// This VM's requests do not follow the order yet.
+		r.VMs = rollout.NewReport().VMs
+		r.VMs[rollout.PhaseOrdered] = 1
+	}
+	r.InFlightOld += g.inFlightRequests(s.Workers.Service(o.service))
 	r.InFlightNew = g.inFlightRequests(s.Workers.Track(o.service, worker.TrackNew))
 	return r
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	rolling "github.com/ryehill/ryehill/coordination/rollout"
@@ -26,8 +25,6 @@
 	// maxFraction is the largest fraction of a service's requests that an unproven
 	// version gets. Rollouts are disabled if it is 0.
 	maxFraction float64
-	// splitters are the splitters of active orders, by service.
-	splitters atomic.Pointer[map[string]*rolling.Splitter]
 
 	mu     sync.Mutex
 	orders map[string]*order
@@ -62,13 +59,18 @@
 }
 
 func newRollouts(maxFraction float64) *rollouts {
-	r := &rollouts{maxFraction: maxFraction, orders: make(map[string]*order)}
-	r.splitters.Store(&map[string]*rolling.Splitter{})
-	return r
+	return &rollouts{maxFraction: maxFraction, orders: make(map[string]*order)}
 }
 
-// Splitter implements ingress.Rollouts.
-func (r *rollouts) Splitter(service string) *rolling.Splitter { return (*r.splitters.Load())[service] }
+// splitters returns the splitters of the active orders, by service.
+func (r *rollouts) splitters() map[string]*rolling.Splitter {
+	active := r.active()
+	splitters := make(map[string]*rolling.Splitter, len(active))
+	for _, o := range active {
+		splitters[o.service] = o.splitter
+	}
+	return splitters
+}
 
 // enabled reports whether rollout orders are enabled in this fleet.
 func (r *rollouts) enabled() bool { return r.maxFraction > 0 }
@@ -96,13 +98,6 @@
 		}
 	}
 	maps.DeleteFunc(r.orders, func(service string, _ *order) bool { return !listed[service] })
-	splitters := make(map[string]*rolling.Splitter, len(r.orders))
-	for service, o := range r.orders {
-		if !o.stored.Phase.Final() {
-			splitters[service] = o.splitter
-		}
-	}
-	r.splitters.Store(&splitters)
 	return added
 }
 
--- a/transport/ingress/ingress.go
+++ b/transport/ingress/ingress.go
@@ -106,8 +106,6 @@
 	Reach Reach
 	// Forwarder forwards requests while this VM reaches no worker. Required with Reach.
 	Forwarder Forwarder
-	// Rollouts divides requests between the versions of a service. Nil means one version.
-	Rollouts Rollouts
 	// AdmissionByRank lets requests compete for the room of full workers by their ranks.
 	AdmissionByRank bool
 	// LeavingGrace is how long a worker may still get requests after it has declared
@@ -154,9 +152,6 @@
 	if cfg.Reach == nil {
 		cfg.Reach = alwaysReached{}
 	}
-	if cfg.Rollouts == nil {
-		cfg.Rollouts = noRollouts{}
-	}
 	return &Handler{cfg: cfg, split: placement.NewSplit(), logLimiter: newLogLimiter(), losses: newLossCounter(), budgets: make(map[string]*retry.Budget)}
 }
 
@@ -309,7 +304,6 @@
 	}
 	q.service = q.handler.split.Choose(q.route, q.key)
 	q.setRank(s)
-	q.splitter = q.handler.cfg.Rollouts.Splitter(q.service)
 	var err error
 	if q.body, err = readBody(q.req, s.Routes.Limits().MaxBodyBytes); err != nil {
 		q.rejectBody(err)
--- a/transport/ingress/rollout.go
+++ b/transport/ingress/rollout.go
@@ -12,22 +12,12 @@
 	"github.com/ryehill/ryehill/state/worker"
 )
 
-// Rollouts provides the services that have a rollout of a new version in progress. It
-// must be safe for concurrent use.
-type Rollouts interface {
-	// Splitter returns the splitter of a service's rollout, or nil if there is none.
-	Splitter(service string) *rollout.Splitter
-}
-
-// noRollouts is the default Rollouts of a Handler.
-type noRollouts struct{}
-
-func (noRollouts) Splitter(string) *rollout.Splitter { return nil }
-
 // place chooses a worker for the next attempt. If the new version has no capacity, it
 // falls back to the stable version, if the rollout allows that.
 func (q *request) place(s *placement.Snapshot, retrying bool) (placement.Choice, placement.Refusal) {
+	q.splitter, q.track = s.Splitters[q.service], worker.TrackStable
 	if q.splitter != nil {
+		defer q.splitter.BeginPlacing()()
 		step := q.splitter.Step()
 		q.track = q.splitter.ChooseTrack(q.route.Name, q.key, retrying)
 		q.addInput("rollout", fmt.Sprintf("%s; %s", q.track, step))
