gateway: a VM that starts without the store knows what its peers have quarantined

Cause: a quarantine is told once and then kept in the store; one that the store has not taken reaches no VM that starts later. Peers name such entries now in their answer to a VM that has no list of them, and the VM takes them before it can serve.

Before: TestVMThatStartsWithoutStoreKnowsQuarantine, 0 of 1 known in 3 of 3 plays; after: 5 of 5, raced.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -150,6 +150,13 @@
 	return due, answered
 }
 
+// unstored returns the active entries that the store may lack, at most as many as fit into
+// a message.
+func (q *quarantines) unstored(now time.Time) []quarantine.Entry {
+	entries := slices.DeleteFunc(q.table.Unstored(), func(e quarantine.Entry) bool { return !e.Active(now) })
+	return entries[:min(len(entries), maxMessageEntries)]
+}
+
 // recordDetected marks an entry as one that this VM has to store.
 func (q *quarantines) recordDetected(f quarantine.Fingerprint) {
 	q.mu.Lock()
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -196,3 +197,24 @@
 		return true
 	})
 }
+
+// Guards against a VM that starts without the store running a request that its peers have
+// quarantined.
+func TestVMThatStartsWithoutStoreKnowsQuarantine(t *testing.T) {
+	t.Parallel()
+	f, m := startCrashFleet(t)
+	f.setStoreUnavailable(true)
+	f.waitFor("three workers have crashed", func() bool {
+		f.vms[0].sendRequest(poisonPath)
+		_, ok := m.thirdCrash()
+		return ok
+	})
+	f.waitFor("all VMs know the quarantine", func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *vm) bool { return v.QuarantineCount() != 1 })
+	})
+	late := f.startVM("late", "north-a", func(_ *gateway.Config, s *storeClient) { s.setFailure(true, false) })
+	f.waitFor("the VM serves", late.Ready)
+	if n := late.QuarantineCount(); n != 1 {
+		t.Errorf("a VM begins to serve with %d quarantined requests, want 1", n)
+	}
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -55,6 +55,7 @@
 		g.loadsMark.set(request.from.VM, reply.GetLoadsMark())
 	}
 	g.balancer.table.Merge(fromBalanced(reply.GetBalanced()))
+	g.applyEntries(request.from.VM, reply.GetQuarantined()) // Before the state with which this VM may begin to serve.
 	g.recordOutage(clock.Now())
 	for _, d := range reply.GetDeltas() {
 		if d, err = unpack(d); err != nil {
@@ -195,6 +196,9 @@
 		AgeMillis: make(map[string]uint32), ListedVms: uint32(g.listedVMs()),
 		Eras: g.eras(), KnowsEras: true, Carried: g.carriedFor(request), Serving: g.snapshot.Load() != nil,
 	}
+	if _, listed := request.GetSince()[g.cfg.Codec.QuarantineKind()]; !listed {
+		reply.Quarantined = g.encodeEntries(g.quarantines.unstored(clock.Now()))
+	}
 	for _, kind := range g.replicatedKinds() {
 		// The age is read first, so that the changes read afterwards are at least as
 		// new.
