ingress, upstream, worker: connections closed by a known exit tell of no new one

The response over the new connection tells when one of the closed ones was last used; an exit that is known since then explains them.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -81,9 +81,6 @@
 	kind       Kind
 	notRun     bool
 	peerClosed bool
-	// reconnected is set if the upstream had closed the idle connections that
-	// were tried first.
-	reconnected bool
 	step        string
 	worker      string
 	cause       error
@@ -104,10 +101,6 @@
 // when its process exits.
 func (e *Error) PeerClosed() bool { return e.peerClosed }
 
-// Reconnected reports whether a new connection was opened because the upstream had
-// closed every idle connection that could have been reused.
-func (e *Error) Reconnected() bool { return e.reconnected }
-
 // Header returns the response header of a refusal by the upstream, or nil.
 func (e *Error) Header() http.Header { return e.header }
 
@@ -309,7 +302,7 @@
 	if req.AtMostOnce {
 		idleLimit = min(idleLimit, c.cfg.AtMostOnceMaxIdle)
 	}
-	foundClosed := false
+	var closedLastUsed time.Time
 	for {
 		idle := p.popIdle(idleLimit, c.cfg.Now())
 		if idle == nil {
@@ -319,7 +312,9 @@
 			return idle, nil
 		}
 		idle.close()
-		foundClosed = true
+		if closedLastUsed.IsZero() {
+			closedLastUsed = idle.idleSince // The first one is the most recently used.
+		}
 	}
 	if req.ReuseOnly {
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: ErrNoIdleConnection}
@@ -328,7 +323,7 @@
 	if err != nil {
 		return nil, err
 	}
-	created.reconnected = foundClosed
+	created.closedLastUsed = closedLastUsed
 	return created, nil
 }
 
