gateway, object: a release right after the store's return holds

A harmless request stayed refused after an operator had released it: removed from the store within tenths of a second of its return from a copy, its entry was written again by the controller, which carried it over, or by the second of the VMs that had found the request, whose save had waited for the store.

Who writes an entry knew neither the one that was saved meanwhile nor its removal. It reads the store's changes after its write now, and takes it back if an entry of about the same time was removed before. A release ends what replicas carry of it.

--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -51,6 +51,7 @@
 
 // logEra reports that the replica of a kind has passed to another era.
 func (g *Gateway) logEra(c object.EraChange) {
+	g.knowledge.recordVersion(c.To)
 	g.cfg.Metrics.EraEntered(c.Kind)
 	g.log.Info("knowledge: new era", "kind", c.Kind, "era", c.To.Era, "previous", c.From.Era, "revision", c.To.Revision, "previous_revision", c.From.Revision,
 		"changed", c.Changed, "kept_missing", c.Missing, "kept_newer", c.Older, "kept_deleted", c.Deleted)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -147,6 +148,15 @@
 	loseBeforeWrite bool
 	// staleState is what stale lists show in place of the current state, if not nil.
 	staleState *storeCopy
+	// unavailableKind is a kind of which all calls fail, "" for none.
+	unavailableKind string
+}
+
+// setUnavailableKind makes all calls for one kind fail, or those of none for "".
+func (d *storeClient) setUnavailableKind(kind string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unavailableKind = kind
 }
 
 // loseWriteReplies makes the next n calls of Replace fail before or after their write.
@@ -229,6 +239,9 @@
 	d.mu.Lock()
 	d.calls[call]++
 	unavailable, hanging := d.unavailable, d.hanging
+	if d.unavailableKind != "" && strings.HasSuffix(call, " "+d.unavailableKind) {
+		unavailable = true
+	}
 	d.mu.Unlock()
 	if hanging {
 		select {
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -33,6 +33,9 @@
 	// eraBegan is when this VM first heard of that era, newEra is closed at the next one.
 	eraBegan time.Time
 	newEra   chan struct{}
+	// eraStart is the lowest version that this VM knows of the newest era that it knows a
+	// version of, from the store or a peer.
+	eraStart object.Version
 	// copies and copyBytes count the full copies of kinds sent to peers since the last
 	// log line.
 	copies, copyBytes int
@@ -67,6 +70,27 @@
 	return previous, true
 }
 
+// recordVersion records that the store, or a peer, had a version. A response without a
+// revision has only an era.
+func (k *knowledge) recordVersion(at object.Version) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at.Revision == 0 {
+		return
+	}
+	if at.Era > k.eraStart.Era || at.Era == k.eraStart.Era && at.Revision < k.eraStart.Revision {
+		k.eraStart = at
+	}
+}
+
+// lowestOfEra returns the lowest version that this VM knows of the newest era that it knows a
+// version of.
+func (k *knowledge) lowestOfEra() object.Version {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.eraStart
+}
+
 // storeEra returns the newest era in a response of the store.
 func (k *knowledge) storeEra() uint64 {
 	k.mu.Lock()
@@ -90,6 +114,7 @@
 
 // recordEra records the version in a response of the store, and logs a new era.
 func (g *Gateway) recordEra(at object.Version) {
+	g.knowledge.recordVersion(at)
 	if previous, newer := g.knowledge.recordEra(at.Era); newer {
 		g.cfg.Metrics.StoreEra(at.Era)
 		g.log.Info("store: new era", "era", at.Era, "previous", previous, "revision", at.Revision)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -14,6 +14,7 @@
 	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
+	"github.com/ryehill/ryehill/state/object"
 	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/transport/peer"
 )
@@ -52,8 +53,9 @@
 	// hangUps and answered wait to be reported.
 	hangUps  []poison.HangUp
 	answered []quarantine.Fingerprint
-	// detected marks the entries made by this VM, which has to store them.
-	detected map[quarantine.Fingerprint]bool
+	// detected holds the entries made by this VM, which has to store them, with the version
+	// of the stored entries that it knew then.
+	detected map[quarantine.Fingerprint]object.Version
 	// save wakes the loop that stores entries, wake the one that reports and detects.
 	save, wake chan struct{}
 	// compiled is the generation of the stored entries last applied.
@@ -66,7 +68,7 @@
 	table := quarantine.NewTable()
 	return &quarantines{
 		table: table, detector: poison.New(poison.Config{Known: table.Get, Now: clock.Now}), history: poison.NewHistory(clock.Now),
-		verifiedUntil: verifiedUntil, detected: make(map[quarantine.Fingerprint]bool), save: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		verifiedUntil: verifiedUntil, detected: make(map[quarantine.Fingerprint]object.Version), save: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -157,11 +159,12 @@
 	return entries[:min(len(entries), maxMessageEntries)]
 }
 
-// recordDetected marks an entry as one that this VM has to store.
-func (q *quarantines) recordDetected(f quarantine.Fingerprint) {
+// recordDetected marks an entry as one that this VM has to store, given the version of the
+// stored entries that it knows.
+func (q *quarantines) recordDetected(f quarantine.Fingerprint, known object.Version) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.detected[f] = true
+	q.detected[f] = known
 	notify(q.save)
 }
 
@@ -266,7 +269,8 @@
 	if !g.quarantines.table.Merge(e) {
 		return
 	}
-	g.quarantines.recordDetected(e.Fingerprint)
+	known, _ := g.replica.CompleteUpTo(g.cfg.Codec.QuarantineKind())
+	g.quarantines.recordDetected(e.Fingerprint, known)
 	g.log.Info("quarantine: request that crashes workers quarantined", "fingerprint", e.Fingerprint.String(), "subject", e.Subject,
 		"service", e.Service, "workers", e.Workers, "times", e.Times, "until", e.Until)
 	g.cfg.Metrics.Quarantined(g.quarantines.table.Len())
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -58,23 +58,92 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return slices.DeleteFunc(q.table.Unstored(), func(e quarantine.Entry) bool {
-		return !q.detected[e.Fingerprint] && (!g.watchesStore() || now.Sub(e.Since) < saveForOthersAfter)
+		_, detected := q.detected[e.Fingerprint]
+		return !detected && (!g.watchesStore() || now.Sub(e.Since) < saveForOthersAfter)
 	})
 }
 
 func (g *Gateway) saveQuarantine(ctx context.Context, entries []quarantine.Entry) error {
 	for _, e := range entries {
-		raw, err := e.Encode()
-		if err != nil {
-			return errors.Wrap(err, "quarantine: encode entry")
-		}
-		if err := g.cfg.Store.Put(ctx, g.cfg.Codec.QuarantineKind(), e.Fingerprint.String(), raw); err != nil {
-			return errors.Wrap(err, "quarantine: save entry")
+		if err := g.saveEntry(ctx, e, g.quarantines.detectedAt(e.Fingerprint)); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// detectedAt returns the version of the stored entries that this VM knew when it made an
+// entry, zero if another VM made it.
+func (q *quarantines) detectedAt(f quarantine.Fingerprint) object.Version {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.detected[f]
+}
+
+// saveEntry saves an entry, and removes it again if it was released since a version: other
+// VMs make and save entries of the same requests, and a save may wait for the store.
+func (g *Gateway) saveEntry(ctx context.Context, e quarantine.Entry, since object.Version) error {
+	kind := g.cfg.Codec.QuarantineKind()
+	raw, err := e.Encode()
+	if err != nil {
+		return errors.Wrap(err, "quarantine: encode entry")
+	}
+	if err := g.cfg.Store.Put(ctx, kind, e.Fingerprint.String(), raw); err != nil {
+		return errors.Wrap(err, "quarantine: save entry")
+	}
+	changes, err := g.quarantineChanges(ctx, e.Fingerprint, since)
+	if err != nil || !wasReleased(changes, e) {
+		return err
+	}
+	g.log.Info("quarantine: released before this VM saved it", "fingerprint", e.Fingerprint.String())
+	if err := g.cfg.Store.Delete(ctx, kind, e.Fingerprint.String()); err != nil {
+		return errors.Wrap(err, "quarantine: release entry")
+	}
+	g.removeQuarantined(e.Fingerprint)
+	g.broadcastQuarantine(nil, []quarantine.Fingerprint{e.Fingerprint})
+	return nil
+}
+
+// quarantineChanges returns the changes of the store's entry of a request after a version,
+// or in the current era if that is a later one. It returns none if the store does not tell
+// them any more.
+func (g *Gateway) quarantineChanges(ctx context.Context, f quarantine.Fingerprint, since object.Version) ([]object.Event, error) {
+	if start := g.knowledge.lowestOfEra(); start.Era > since.Era {
+		since = start
+	}
+	if since.Revision == 0 {
+		return nil, nil
+	}
+	changes, at, err := g.cfg.Store.Watch(ctx, g.cfg.Codec.QuarantineKind(), since, time.Millisecond)
+	g.recordEra(at)
+	switch {
+	case at.Era > since.Era: // Also after an error, which may be due to the era.
+		return g.quarantineChanges(ctx, f, since)
+	case errors.Is(err, ErrHistoryExpired):
+		return nil, nil
+	case err != nil:
+		return nil, errors.Wrap(err, "quarantine: read changes")
+	}
+	return slices.DeleteFunc(changes, func(c object.Event) bool { return c.Name != f.String() }), nil
+}
+
+// wasReleased reports whether an entry is the one that was removed last: it was made at about
+// the same time as those saved before and after the removal.
+func wasReleased(changes []object.Event, e quarantine.Entry) bool {
+	removed := false
+	for _, c := range changes {
+		if c.Deleted {
+			removed = true
+			continue
+		}
+		saved, err := decodeEntry(c.Spec, clock.Now())
+		if err != nil || e.Since.Sub(saved.Since).Abs() >= saveForOthersAfter {
+			return false
+		}
+	}
+	return removed
+}
+
 // listQuarantine reads the stored entries. VMs that watch the store delete entries past
 // their retention, since the store does not expire them.
 func (g *Gateway) listQuarantine(ctx context.Context, stale bool) error {
@@ -154,6 +223,7 @@
 // removeQuarantined removes a request from this VM's quarantine.
 func (g *Gateway) removeQuarantined(f quarantine.Fingerprint) {
 	q := g.quarantines
+	g.replica.EndCarried(g.cfg.Codec.QuarantineKind(), f.String())
 	q.mu.Lock()
 	delete(q.detected, f)
 	q.mu.Unlock()
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -9,9 +9,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ryehill/ryehill/coordination/traffic"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/state/spec"
 )
 
@@ -116,6 +119,16 @@
 	g.logRestored(kind, spec.SingletonName, err)
 }
 
+// restoreEntry saves a quarantined request of an earlier era, unless it was saved and released
+// in this one before this VM heard of either.
+func (g *Gateway) restoreEntry(ctx context.Context, c object.Carried) error {
+	e, err := quarantine.Decode(c.Spec)
+	if err != nil {
+		return errors.Wrap(err, "quarantine: decode entry")
+	}
+	return g.saveEntry(ctx, e, c.Version)
+}
+
 // restoreQuarantine saves quarantined requests again that the store lost, and deletes
 // again those that were released.
 func (g *Gateway) restoreQuarantine(ctx context.Context) {
@@ -129,7 +142,7 @@
 		if c.Deleted {
 			err = g.cfg.Store.Delete(ctx, kind, c.Name)
 		} else {
-			err = g.cfg.Store.Put(ctx, kind, c.Name, c.Spec)
+			err = g.restoreEntry(ctx, c)
 		}
 		if !g.logRestored(kind, c.Name, err) {
 			return
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -260,6 +260,40 @@
 	e.waitWithin(restoreWithin+listEvery, "the released entry is deleted again", func() bool { return len(e.storedQuarantine()) == 0 })
 }
 
+// Guards against a release that is undone, since the VMs hear of the removed entry only after
+// its removal.
+func TestReleaseBeforeQuarantineIsRestoredHolds(t *testing.T) {
+	t.Parallel()
+	f, _ := startCrashFleet(t)
+	e := &eraFleet{fleet: f, version: 2}
+	stop := make(chan struct{})
+	go f.sendUntilStopped(poisonPath, 150*time.Millisecond, stop)
+	f.waitFor("the request is quarantined and stored", func() bool { return len(e.storedQuarantine()) == 1 })
+	close(stop)
+	entry := e.storedQuarantine()[0]
+	withoutEntry := f.store.copyState()
+	withoutEntry.kinds[kindQuarantine] = nil
+	setQuarantineUnavailable := func(kind string) {
+		for _, v := range f.vms {
+			v.storeClient.setUnavailableKind(kind)
+		}
+	}
+	e.returnFrom(withoutEntry, func() { setQuarantineUnavailable(kindQuarantine) })
+	f.waitFor("all VMs know of the return", func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *vm) bool { return v.Era(kindConfig) != 1 })
+	})
+	// As if one of the VMs that had found the request had stored it, and an operator removed it.
+	f.store.put(kindQuarantine, entry.Name, json.RawMessage(entry.Spec))
+	f.store.remove(kindQuarantine, entry.Name)
+	setQuarantineUnavailable("")
+	e.waitWithin(restoreWithin+listEvery, "the request is released at all VMs", func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *vm) bool { return v.QuarantineCount() > 0 })
+	})
+	if n := len(e.storedQuarantine()); n > 0 {
+		t.Errorf("the store has %d quarantined requests after the release", n)
+	}
+}
+
 // listEvery is the interval at which VMs list kinds that they do not watch.
 const listEvery = 10 * time.Second
 
--- a/state/object/carry.go
+++ b/state/object/carry.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -59,6 +60,25 @@
 // newer reports whether a was written after b, as far as the content tells.
 func (p Policy) newer(a, b Object) bool { return p.Newer != nil && p.Newer(a, b) }
 
+const (
+	// disownedFor is for how long an object is not carried after EndCarried, which is longer
+	// than a replica takes to hear of a new era.
+	disownedFor = 30 * time.Second
+	// maxDisowned bounds the disowned objects of a kind.
+	maxDisowned = 1024
+)
+
+// disown records that an object is not carried for disownedFor.
+func (k *kindReplica) disown(name string, now time.Time) {
+	maps.DeleteFunc(k.disowned, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if k.disowned == nil {
+		k.disowned = make(map[string]time.Time)
+	}
+	if len(k.disowned) < maxDisowned {
+		k.disowned[name] = now.Add(disownedFor)
+	}
+}
+
 // carryOver determines the carried states when a new era replaces the objects in use.
 // The caller has set k.objects; before holds what was in use, deleted the versions of
 // earlier deletions by name.
@@ -67,6 +87,7 @@
 	for name, o := range before {
 		stored, ok := k.objects[name]
 		switch {
+		case now.Before(k.disowned[name]):
 		case !ok && k.policy.Missing != 0:
 			k.carried[name] = carriedState{object: o, until: endAfter(k.policy.Missing, now)}
 		case ok && !bytes.Equal(o.Spec, stored.Spec) && k.policy.newer(o, stored):
@@ -175,6 +196,8 @@
 	stored, ok := k.objects[c.Name]
 	held, isCarried := k.carried[c.Name]
 	switch {
+	case !c.Deleted && now.Before(k.disowned[c.Name]):
+		return false
 	case isCarried && (held.deleted || c.Deleted || !k.policy.newer(c.Object, held.object)):
 		return false
 	case c.Deleted && (!ok || stored.Version.Revision > c.Version.Revision):
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -47,6 +47,8 @@
 	passedEra, historyOfEra bool
 	// carried holds the states of earlier eras that are in use, by name.
 	carried map[string]carriedState
+	// disowned holds until when objects are not carried, by name.
+	disowned map[string]time.Time
 	// generation counts the changes of the objects in use.
 	generation uint64
 }
--- a/state/object/replica.go
+++ b/state/object/replica.go
@@ -179,6 +179,25 @@
 	return taken
 }
 
+// EndCarried ends the carried state of an object that is in use, if there is one, and carries
+// none for disownedFor: the object was removed from the store, which this replica may not have
+// heard of yet.
+func (r *Replica) EndCarried(kind, name string) {
+	k := r.kind(kind)
+	k.mu.Lock()
+	k.disown(name, r.cfg.Now())
+	c, ok := k.carried[name]
+	ended := ok && !c.deleted
+	if ended {
+		delete(k.carried, name)
+		k.markChanged()
+	}
+	k.mu.Unlock()
+	if ended {
+		r.signal()
+	}
+}
+
 // Expire ends the carried states of a kind whose time is over. It returns these and the
 // end of the next one, zero if there is none.
 func (r *Replica) Expire(name string) (ended []Carried, next time.Time) {
