rollout: a version is shifted only once its answers clear it

That no alarm sounds says nothing where the alarm needs 60 answers.

A version is shifted once a sequential test rules out that it fails or is very slow 0.3 more often than the old one. While too few answers are expected for that, more keys are tried out, within the share and the canary workers' slots. What cannot be judged by its deadline stays in the trial. Also, a canary request that was counted as slow while in flight and then failed counted for nothing; it counts as failed.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -28,6 +28,15 @@
 	priorFailures, priorResponses = 1.0, 20.0
 	// minRate and maxRate bound the compared rates.
 	minRate, maxRate = 1e-4, 0.9
+	// clearThreshold is the log-likelihood ratio below which an increase of a rate counts as
+	// ruled out: a version with that increase passes once in e^clearThreshold (100) times.
+	clearThreshold = 4.6
+	// clearIncrease is the smallest increase that is ruled out; smaller ones take too many
+	// responses.
+	clearIncrease = 0.3
+	// conclusiveResponses is the number of checked responses after which the alarm would
+	// have found an increase of clearIncrease.
+	conclusiveResponses = 80
 	// minOutlierWorkers is the number of canaries from which on the worst outlierFraction
 	// of them is excluded: a few unhealthy workers do not make a bad version.
 	minOutlierWorkers = 3
@@ -87,6 +96,10 @@
 	since  time.Time
 	failed [len(failureIncreases)]float64
 	slow   [len(slowIncreases)]float64
+	// checked is the number of responses that could raise the alarm for slowness. failedSum
+	// and slowSum are the ratios for clearIncrease of failed and of very slow responses,
+	// without the lower bound of a score.
+	checked, failedSum, slowSum float64
 }
 
 // baselineDecay is the time constant of the old version's tallies: the new version is
@@ -95,14 +108,15 @@
 
 // decayingTally is a tally with exponential decay.
 type decayingTally struct {
-	ended, failed, slow float64
-	at                  time.Time
+	ended, failed, slow, verySlow float64
+	at                            time.Time
 }
 
 // add decays the tally to the given time and adds t.
 func (d *decayingTally) add(now time.Time, t rollout.Tally) {
 	decay := math.Exp(-now.Sub(d.at).Seconds() / baselineDecay.Seconds())
 	d.ended, d.failed, d.slow = d.ended*decay+float64(t.Ended), d.failed*decay+float64(t.Failed), d.slow*decay+float64(t.Slow)
+	d.verySlow = d.verySlow*decay + float64(t.VerySlow)
 	d.at = now
 }
 
@@ -163,7 +177,10 @@
 		explained := coldRuns * slowRatio(deltas[route], deltas[allRoutes])
 		if now.Sub(scores.since) < a.timing.Settle {
 			explained = float64(deltas[route].Slow)
+		} else {
+			scores.checked += max(float64(deltas[route].canary)-explained, 0)
 		}
+		scores.addForClearing(deltas[route], old)
 		if slow, bad := scores.add(deltas[route], old, explained); bad {
 			all := r.NewByRoute()
 			all[allRoutes] = total(all)
@@ -173,6 +190,19 @@
 	return Finding{}, false
 }
 
+// Cleared reports whether the responses rule out that the version fails or is slow much more
+// often than the old one. The given number of slow requests in flight, which are counted
+// already, tell nothing yet. That no alarm was raised rules out nothing, since few responses
+// raise none.
+func (a *Analyzer) Cleared(undecided int) bool {
+	scores, old := a.routes[allRoutes], a.baseline[allRoutes]
+	if scores == nil || old == nil {
+		return false
+	}
+	counted := likelihoodRatio(float64(undecided), 0, toleratedRate(old.verySlow, old.ended, slowTolerance), clearIncrease)
+	return scores.checked >= conclusiveResponses || scores.slowSum-counted <= -clearThreshold && scores.failedSum <= -clearThreshold
+}
+
 // routeDelta holds the responses of the new version on a route since the last call.
 type routeDelta struct {
 	rollout.Tally
@@ -189,7 +219,7 @@
 	for key, t := range r.New {
 		delta := t.Delta(a.counted[key])
 		a.counted[key] = t
-		if delta.Ended == 0 {
+		if delta.Ended == 0 && delta.VerySlow == 0 {
 			continue
 		}
 		for _, route := range []string{key.Route, allRoutes} {
@@ -312,15 +342,27 @@
 	return false, false
 }
 
+// addForClearing adds responses to the sums that clear a version. Slow responses that the
+// first runs of keys explain do not count. A very slow one may have been added as slow before.
+func (s *routeScores) addForClearing(delta routeDelta, old *decayingTally) {
+	s.slowSum += likelihoodRatio(float64(delta.canary), float64(delta.VerySlow), toleratedRate(old.verySlow, old.ended, slowTolerance), clearIncrease)
+	s.failedSum += likelihoodRatio(float64(delta.Ended), float64(delta.Failed), toleratedRate(old.failed, old.ended, failureTolerance), clearIncrease)
+}
+
 // toleratedRate returns the rate of bad responses that still counts as no worse than the
 // old version.
 func toleratedRate(bad, ended, margin float64) float64 {
 	return min(max(toleranceFactor*(bad+priorFailures)/(ended+priorResponses)+margin, minRate), maxRate)
 }
 
-// updateScore adds the log-likelihood ratio of the responses, for a rate that is increased
-// over the tolerated one against the tolerated rate.
+// updateScore adds the log-likelihood ratio of the responses to a score.
 func updateScore(score, ended, bad, tolerated, increase float64) float64 {
+	return max(0, score+likelihoodRatio(ended, bad, tolerated, increase))
+}
+
+// likelihoodRatio returns the log-likelihood ratio of responses for a rate that is increased
+// over the tolerated one against the tolerated rate.
+func likelihoodRatio(ended, bad, tolerated, increase float64) float64 {
 	degraded := min(tolerated+increase, (1+tolerated)/2)
-	return max(0, score+bad*math.Log(degraded/tolerated)+(ended-bad)*math.Log((1-degraded)/(1-tolerated)))
+	return bad*math.Log(degraded/tolerated) + (ended-bad)*math.Log((1-degraded)/(1-tolerated))
 }
--- a/coordination/rollout/canary.go
+++ b/coordination/rollout/canary.go
@@ -21,6 +21,17 @@
 	// minExpectedResponses is the number of expected responses from which on the
 	// responses of a route are compared with them.
 	minExpectedResponses = 2 * minResponses
+	// wantedResponses is the number of responses after which a good version is usually
+	// cleared.
+	wantedResponses = 20.0
+	// minGrowInterval is the time in the trial before the fraction of the keys on all routes
+	// grows, and minCanaryGrowth the factor by which it does at least: each time the new
+	// keys' first runs are waited for.
+	minGrowInterval = 500 * time.Millisecond
+	minCanaryGrowth = 1.5
+	// maxCanaryUse is the fraction of the canary workers' slots that the keys in the trial
+	// may need at the recent peak.
+	maxCanaryUse = 0.5
 )
 
 // canaryRoute is the fraction of a route's keys in the trial.
--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -117,8 +117,8 @@
 	// Isolated is the number of live VMs that reach no worker.
 	Isolated int
 	// Slots are the usable slots of the new version's workers, OldSlots those of the
-	// old version's.
-	Slots, OldSlots int
+	// old version's, and CanarySlots those of the canary workers.
+	Slots, OldSlots, CanarySlots int
 }
 
 // Step is a decision for all VMs.
@@ -164,13 +164,15 @@
 	closed bool
 	// canaries holds the keys in the trial by route.
 	canaries map[string]*canaryRoute
+	// minCanaryFraction is the minimum fraction of the keys in the trial on all routes.
+	minCanaryFraction float64
 }
 
 // NewDecider returns a decider for an order that has not been started.
 func NewDecider(cfg DeciderConfig) *Decider {
 	ordered, trial, shift := rollout.PhaseOrdered.String(), rollout.PhaseTrial.String(), rollout.PhaseShift.String()
 	proved, completed, rolledBack := rollout.PhaseProved.String(), rollout.PhaseCompleted.String(), rollout.PhaseRolledBack.String()
-	return &Decider{cfg: cfg, canaries: make(map[string]*canaryRoute), reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
+	return &Decider{cfg: cfg, canaries: make(map[string]*canaryRoute), minCanaryFraction: worker.CanaryFraction, reason: "waits for workers of the new version", machine: fsm.NewFSM(ordered, fsm.Events{
 		{Name: eventStartTrial, Src: []string{ordered}, Dst: trial},
 		{Name: eventShift, Src: []string{ordered, trial}, Dst: shift},
 		{Name: eventProve, Src: []string{ordered, trial, shift}, Dst: proved},
@@ -203,6 +205,7 @@
 	}
 	drain := d.drainTime(latency)
 	d.updatePeak(in)
+	d.growMinCanaryFraction(in, drain)
 	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
 		d.trialResponses = shiftedResponses(in.Report)
 	}
@@ -282,6 +285,8 @@
 		d.reason = fmt.Sprintf("is tried out for %s more", (in.TimeLeft - drain).Round(time.Millisecond))
 	case elapsed < minTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", elapsed.Round(time.Millisecond), responses)
+	case !d.analyzer.Cleared(in.Report.Undecided) && oldResponses(in.Report) >= minProofResponses:
+		d.reason = fmt.Sprintf("%d answers do not tell whether it is slow or fails", responses)
 	case d.peak > maxSlotUse*float64(in.Slots), float64(in.Slots) < minSlotRatio*float64(in.OldSlots):
 		d.reason = fmt.Sprintf("waits for workers: %d slots are there, %d of old ones, and up to %.0f requests were under way lately",
 			in.Slots, in.OldSlots, d.peak)
@@ -290,6 +295,26 @@
 	}
 }
 
+// growMinCanaryFraction raises the fraction of the keys in the trial if the responses expected
+// until its end are too few to judge the version. The canary workers must have the capacity.
+func (d *Decider) growMinCanaryFraction(in Inputs, drain time.Duration) {
+	old, elapsed := oldResponses(in.Report), in.Now.Sub(d.trialSince)
+	if d.Phase() != rollout.PhaseTrial || d.analyzer.Cleared(in.Report.Undecided) || old < minLatencySamples || elapsed < minGrowInterval {
+		return
+	}
+	rate := float64(old) / elapsed.Seconds()
+	left := max(in.TimeLeft-drain, minTrial/2)
+	needed := min(wantedResponses/(rate*left.Seconds()), maxCanaryFraction, maxCanaryUse*float64(in.CanarySlots)/max(d.peak, 1))
+	if needed < minCanaryGrowth*d.minCanaryFraction {
+		return
+	}
+	d.minCanaryFraction = needed
+	for route := range in.Report.Old {
+		d.analyzer.Resettle(route, in.Now)
+	}
+	d.analyzer.Resettle(allRoutes, in.Now)
+}
+
 // growCanaries returns a larger fraction of the keys for each route that has too little of
 // its traffic in the trial, since a version may be bad on that route only.
 func (d *Decider) growCanaries(in Inputs, latency time.Duration) map[string]float64 {
@@ -299,7 +324,7 @@
 	var fractions map[string]float64
 	responses := in.Report.NewByRoute()
 	for route, old := range in.Report.Old {
-		if float64(old.Ended) < minResponses/worker.CanaryFraction {
+		if float64(old.Ended) < minResponses/d.minCanaryFraction {
 			continue
 		}
 		c, ok := d.canaries[route]
@@ -310,13 +335,14 @@
 		if c.grow(in.Now, d.trialSince, old, responses[route], coldFactor*latency) {
 			d.analyzer.Resettle(route, in.Now)
 		}
-		if c.fraction == worker.CanaryFraction {
+		fraction := max(c.fraction, d.minCanaryFraction)
+		if fraction == worker.CanaryFraction {
 			continue
 		}
 		if fractions == nil {
 			fractions = make(map[string]float64)
 		}
-		fractions[route] = c.fraction
+		fractions[route] = fraction
 	}
 	return fractions
 }
--- a/coordination/rollout/evidence_test.go
+++ b/coordination/rollout/evidence_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	rolling "github.com/ryehill/ryehill/coordination/rollout"
+	"github.com/ryehill/ryehill/coordination/rollout/rolloutmodel"
 	"github.com/ryehill/ryehill/state/rollout"
+	"github.com/ryehill/ryehill/state/worker"
 )
 
 // Guards against completing a version that few responses tell of, after VMs have lost what
@@ -78,3 +80,63 @@
 		})
 	}
 }
+
+// Guards against completing a bad version because its few responses raise no alarm by the
+// order's deadline.
+func TestBadVersionWithFewRequestsIsNotCompleted(t *testing.T) {
+	cases := map[string]rolloutmodel.Fault{
+		"half slow":   {Fraction: 0.5, Slowdown: 12},
+		"half failed": {Fraction: 0.5},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			completed := 0
+			for seed := range uint64(*seeds) {
+				m := rolloutmodel.New(seed, 5)
+				m.Rate, m.Keys, m.Slots, m.Fault = 14, 30, 36, &f
+				m.Run()
+				if m.Phase == rollout.PhaseCompleted {
+					completed++
+					t.Logf("seed %d: completed after %s with %d of %d: %s", seed, m.Ended, m.SentToNew, m.Requests, m.Reason)
+				}
+				if m.Excess() > 0 {
+					t.Errorf("seed %d: the new version got %.0f requests more than its share", seed, m.Excess())
+				}
+			}
+			if completed > 0 {
+				t.Errorf("%d of %d bad versions were completed", completed, *seeds)
+			}
+		})
+	}
+}
+
+// Guards against failures that count for nothing, since their requests were counted as slow
+// while they were in flight.
+func TestSlowRequestThatFailsCountsAsFailed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: 0.1, Now: func() time.Time { return now }})
+	s.Apply(rolling.Step{Phase: rollout.PhaseTrial, SlowAfter: map[string]time.Duration{"r": 100 * time.Millisecond}})
+	key := rollout.TallyKey{Route: "r", Worker: "w"}
+	cases := []struct {
+		name      string
+		step      func(try *rolling.Attempt)
+		want      rollout.Tally
+		undecided int
+	}{
+		{"in flight", func(*rolling.Attempt) {}, rollout.Tally{}, 0},
+		{"slow", func(*rolling.Attempt) { now = now.Add(150 * time.Millisecond) }, rollout.Tally{Ended: 1, Slow: 1}, 1},
+		{"still slow", func(*rolling.Attempt) {}, rollout.Tally{}, 1},
+		{"very slow", func(*rolling.Attempt) { now = now.Add(time.Second) }, rollout.Tally{VerySlow: 1}, 0},
+		{"failed", func(try *rolling.Attempt) { try.RecordEnd(true, true) }, rollout.Tally{Ended: 1, Failed: 1}, 0},
+	}
+	try, before := s.RecordSent(worker.TrackCanary, "r", "w", 1), rollout.Tally{}
+	for _, c := range cases {
+		c.step(try)
+		r := s.Report()
+		if got := r.New[key].Delta(before); got != c.want || r.Undecided != c.undecided {
+			t.Errorf("%s: counted as %+v, %d undecided, want %+v, %d", c.name, got, r.Undecided, c.want, c.undecided)
+		}
+		before = r.New[key]
+	}
+}
--- a/coordination/rollout/rolloutmodel/model.go
+++ b/coordination/rollout/rolloutmodel/model.go
@@ -72,6 +72,7 @@
 	warm        map[string]time.Time // when a key becomes fast at a location
 	pending     completions
 	oldInFlight int
+	newInFlight int
 }
 
 // completion is the scheduled end of a request.
@@ -134,6 +135,8 @@
 			e.try.RecordEnd(true, e.failed)
 			if e.old {
 				m.oldInFlight--
+			} else {
+				m.newInFlight--
 			}
 		}
 		for range m.arrivals(tick) {
@@ -190,6 +193,8 @@
 	e := completion{at: m.now.Add(time.Duration(took) * time.Millisecond), try: vm.RecordSent(track, route, incarnation, hash), failed: failed, old: track == worker.TrackStable}
 	if e.old {
 		m.oldInFlight++
+	} else {
+		m.newInFlight++
 	}
 	if !known {
 		m.warm[fmt.Sprint(location, k)] = e.at
@@ -208,8 +213,8 @@
 	for _, vm := range m.vms {
 		sum.Merge(vm.Report())
 	}
-	sum.InFlightOld = m.oldInFlight
-	step := m.decider.decide(rolling.Inputs{Now: m.now, TimeLeft: Duration - at, Report: sum, VMs: len(m.vms), Slots: m.Slots})
+	sum.InFlightOld, sum.InFlightNew = m.oldInFlight, m.newInFlight
+	step := m.decider.decide(rolling.Inputs{Now: m.now, TimeLeft: Duration - at, Report: sum, VMs: len(m.vms), Slots: m.Slots, CanarySlots: int(worker.CanaryFraction * float64(m.Slots))})
 	m.loaded = m.decider.loaded()
 	if m.ReplaceDecider && step.Phase != m.Phase {
 		m.decider = m.Way.newDecider()
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -228,6 +228,8 @@
 	track       worker.Track
 	key         uint64
 	started     time.Time
+	// running is what the attempt was counted as while it was in flight.
+	running rollout.Tally
 }
 
 // RecordSent records that a request was sent to an incarnation of a worker.
@@ -256,11 +258,14 @@
 	if !conclusive || s.phase == rollout.PhaseOrdered {
 		return
 	}
-	tally := rollout.Tally{Ended: 1, LogMillis: math.Log(max(float64(took)/float64(time.Millisecond), 1))}
+	logMillis := math.Log(max(float64(took)/float64(time.Millisecond), 1))
+	tally := rollout.Tally{Ended: 1, LogMillis: logMillis}
 	if failed {
-		tally.Failed = 1
-	} else if s.isSlow(t.route, took) && t.track != worker.TrackNew {
-		tally.Slow = 1
+		tally.Failed = 1 // Also if it was counted as slow before.
+	} else if t.track != worker.TrackNew {
+		s.markSlow(&tally, t.route, took)
+		tally = tally.Delta(t.running)
+		tally.LogMillis = logMillis
 	}
 	s.addTally(t, tally)
 	if failed && t.track != worker.TrackStable && !s.suspended {
@@ -288,10 +293,18 @@
 	s.report.New[tallyKey] = sum
 }
 
-// isSlow reports whether a latency exceeds the route's slow threshold.
-func (s *Splitter) isSlow(route string, took time.Duration) bool {
+// markSlow counts a request in a tally as slow if its latency exceeds the route's slow
+// threshold, and reports whether it did.
+func (s *Splitter) markSlow(tally *rollout.Tally, route string, took time.Duration) bool {
 	limit, ok := s.step.SlowAfter[route]
-	return ok && took > limit
+	if !ok || took <= limit {
+		return false
+	}
+	tally.Slow = 1
+	if took.Seconds() > coldFactor/slowFactor*limit.Seconds() {
+		tally.VerySlow = 1
+	}
+	return true
 }
 
 // Report returns this VM's observations. Canary requests in flight that already exceed
@@ -301,18 +314,30 @@
 func (s *Splitter) Report() rollout.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	undecided := s.countRunning()
 	r := rollout.NewReport()
 	r.Merge(s.report)
+	r.Undecided = undecided
 	r.VMs[s.phase] = 1
 	r.InFlightOld = s.placing
+	return r
+}
+
+// countRunning counts canary requests in flight that already exceed the slow threshold, each
+// once, and returns how many of them may still become very slow.
+func (s *Splitter) countRunning() (undecided int) {
 	now := s.cfg.Now()
 	for t := range s.inFlight {
-		if t.track == worker.TrackCanary && s.isSlow(t.route, now.Sub(t.started)) {
-			tallyKey := rollout.TallyKey{Route: t.route, Worker: t.incarnation}
-			sum := r.New[tallyKey]
-			sum.Add(rollout.Tally{Ended: 1, Slow: 1})
-			r.New[tallyKey] = sum
+		running := rollout.Tally{Ended: 1}
+		if t.track != worker.TrackCanary || !s.markSlow(&running, t.route, now.Sub(t.started)) {
+			continue
 		}
+		if running.VerySlow == 0 {
+			undecided++
+		}
+		s.addTally(t, running.Delta(t.running))
+		t.running.VerySlow = max(running.VerySlow, t.running.VerySlow) // The threshold may have risen since.
+		t.running.Ended, t.running.Slow = 1, 1
 	}
-	return r
+	return undecided
 }
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -112,6 +112,7 @@
 	live := g.liveMembers()
 	step := o.decider.Decide(rolling.Inputs{
 		Now: now, TimeLeft: timeLeft, Report: *report, VMs: len(live), Isolated: countIsolated(live), Slots: g.usableSlots(o.service, worker.TrackNew), OldSlots: g.usableSlots(o.service, worker.TrackStable),
+		CanarySlots: g.usableSlots(o.service, worker.TrackCanary),
 	})
 	if step.Phase != previous {
 		g.log.Info("rollout: "+step.Phase.String(), "service", o.service, "version", o.name, "reason", step.Reason,
@@ -163,7 +164,7 @@
 		return 0
 	}
 	now, slots := clock.Now(), 0
-	isNew := track == worker.TrackNew
+	isNew := track != worker.TrackStable
 	for _, w := range s.Workers.Track(service, track) {
 		if _, ready := g.loads.Availability(w, now).(worker.Ready); ready && w.New == isNew && !g.placer.IsCold(s, w) {
 			slots += w.Slots
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -56,7 +56,7 @@
 func toReport(o *order, r *rollout.Report) *peerpb.RolloutReport {
 	message := &peerpb.RolloutReport{
 		Service: o.service, Version: uint64(o.version), UnderWayOld: uint32(max(r.InFlightOld, 0)),
-		UnderWayNew: uint32(max(r.InFlightNew, 0)), Keys: r.Keys.Bytes(),
+		UnderWayNew: uint32(max(r.InFlightNew, 0)), Undecided: uint32(max(r.Undecided, 0)), Keys: r.Keys.Bytes(),
 	}
 	for _, vms := range r.VMs {
 		message.Vms = append(message.Vms, uint32(vms))
@@ -72,13 +72,14 @@
 
 func toTally(key rollout.TallyKey, t rollout.Tally) *peerpb.RolloutTally {
 	return &peerpb.RolloutTally{
-		Route: key.Route, Worker: key.Worker, Ended: t.Ended, Failed: t.Failed, Slow: t.Slow, LogMillis: t.LogMillis,
+		Route: key.Route, Worker: key.Worker, Ended: t.Ended, Failed: t.Failed, Slow: t.Slow, VerySlow: t.VerySlow, LogMillis: t.LogMillis,
 	}
 }
 
 func fromReport(message *peerpb.RolloutReport) rollout.Report {
 	r := rollout.NewReport()
 	r.InFlightOld, r.InFlightNew = int(message.GetUnderWayOld()), int(message.GetUnderWayNew())
+	r.Undecided = int(message.GetUndecided())
 	r.Keys = rollout.ParseSketch(message.GetKeys())
 	for phase, vms := range message.GetVms()[:min(len(message.GetVms()), len(r.VMs))] {
 		r.VMs[phase] = int(vms)
@@ -93,5 +94,5 @@
 }
 
 func fromTally(t *peerpb.RolloutTally) rollout.Tally {
-	return rollout.Tally{Ended: t.GetEnded(), Failed: t.GetFailed(), Slow: t.GetSlow(), LogMillis: t.GetLogMillis()}
+	return rollout.Tally{Ended: t.GetEnded(), Failed: t.GetFailed(), Slow: t.GetSlow(), VerySlow: t.GetVerySlow(), LogMillis: t.GetLogMillis()}
 }
--- a/state/rollout/report.go
+++ b/state/rollout/report.go
@@ -9,6 +9,9 @@
 	Failed uint32 `json:"failed"`
 	// Slow counts the requests that took longer than the old version's slow threshold.
 	Slow uint32 `json:"slow"`
+	// VerySlow counts those of the slow requests that took longer than the first run of a
+	// key does.
+	VerySlow uint32 `json:"very_slow"`
 	// LogMillis is the sum of the logarithms of the latencies in milliseconds.
 	LogMillis float64 `json:"-"`
 }
@@ -18,6 +21,7 @@
 	t.Ended += other.Ended
 	t.Failed += other.Failed
 	t.Slow += other.Slow
+	t.VerySlow += other.VerySlow
 	t.LogMillis += other.LogMillis
 }
 
@@ -34,6 +38,9 @@
 	if t.Slow > earlier.Slow {
 		delta.Slow = min(t.Slow-earlier.Slow, delta.Ended)
 	}
+	if t.VerySlow > earlier.VerySlow {
+		delta.VerySlow = t.VerySlow - earlier.VerySlow
+	}
 	return delta
 }
 
@@ -54,6 +61,8 @@
 	New map[TallyKey]Tally
 	// InFlightOld and InFlightNew count the requests in flight at workers of each version.
 	InFlightOld, InFlightNew int
+	// Undecided counts the canary requests in flight that are slow, and not very slow yet.
+	Undecided int
 	// Keys estimates the distinct keys of the requests in New.
 	Keys Sketch
 }
@@ -80,6 +89,7 @@
 	}
 	r.InFlightOld += other.InFlightOld
 	r.InFlightNew += other.InFlightNew
+	r.Undecided += other.Undecided
 	r.Keys.Merge(other.Keys)
 }
 
