rollout: the time kept for the completion follows how long rounds take

The shift begins earlier by four times what the reports took to collect, 1 s at most.

Before: TestShiftBeginsEarlierWhereRoundsTakeLong shows no difference; after: 0.8 s where a round takes 0.2 s.

--- a/coordination/rollout/canary_test.go
+++ b/coordination/rollout/canary_test.go
@@ -44,3 +44,24 @@
 	}
 	t.Errorf("a version of which all %d responses on a route are slow is still in the trial", duration/interval)
 }
+
+// Guards against late completions where rounds take long, since the VMs or the network are slow:
+// the last rounds then take longer than usual.
+func TestShiftBeginsEarlierWhereRoundsTakeLong(t *testing.T) {
+	const duration, step = 10 * time.Second, 100 * time.Millisecond
+	shiftAt := func(roundTime time.Duration) time.Duration {
+		d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: duration}})
+		r := rollout.NewReport()
+		r.VMs[rollout.PhaseTrial] = 1
+		for at := time.Duration(0); at < duration; at += step {
+			in := rolling.Inputs{Now: time.Unix(1000, 0).Add(at), TimeLeft: duration - at, Report: r, VMs: 1, Slots: 90, RoundTime: roundTime}
+			if d.Decide(in).Phase >= rollout.PhaseShift {
+				return at
+			}
+		}
+		return duration
+	}
+	if usual, slow := shiftAt(0), shiftAt(200*time.Millisecond); usual-slow < 800*time.Millisecond {
+		t.Errorf("the shift begins after %s, and after %s where a round takes 200 ms", usual, slow)
+	}
+}
--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -60,6 +60,11 @@
 	minDrain            = 600 * time.Millisecond
 	maxDrain            = 4 * time.Second
 	completionAllowance = 900 * time.Millisecond
+	// closingRounds is the number of rounds from the proof to the completion: the VMs learn
+	// of the proof, then that old workers are closed, and confirm that. maxClosingTime bounds
+	// the time that is kept for them.
+	closingRounds  = 4
+	maxClosingTime = time.Second
 	// maxDrainFraction is the maximum fraction of the order's duration used to drain.
 	maxDrainFraction = 1.0 / 3
 	// warmUpLead is how long before the shift a few requests of all keys are sent to
@@ -116,6 +121,8 @@
 	VMs    int
 	// Isolated is the number of live VMs that reach no worker.
 	Isolated int
+	// RoundTime is how long it took to collect the reports.
+	RoundTime time.Duration
 	// Slots are the usable slots of the new version's workers, OldSlots those of the
 	// old version's, and CanarySlots those of the canary workers.
 	Slots, OldSlots, CanarySlots int
@@ -203,7 +210,7 @@
 	if bad && d.Phase() < rollout.PhaseProved {
 		d.fire(eventRollBack, in.Now, finding.String())
 	}
-	drain := d.drainTime(latency)
+	drain := d.drainTime(latency) + min(closingRounds*in.RoundTime, maxClosingTime)
 	d.updatePeak(in)
 	d.growMinCanaryFraction(in, drain)
 	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
--- a/internal/gateway/rolloutloop.go
+++ b/internal/gateway/rolloutloop.go
@@ -91,15 +91,18 @@
 		if !g.Ready() || !g.settled() || !g.isController() {
 			continue
 		}
+		begun := clock.Now()
 		reports := g.collectRolloutReports(ctx, g.rolloutSteps(active))
+		took := clock.Since(begun)
 		for _, o := range active {
-			wait = min(wait, g.decideRollout(ctx, o, reports[o.service]))
+			wait = min(wait, g.decideRollout(ctx, o, reports[o.service], took))
 		}
 	}
 }
 
-// decideRollout advances one order and returns when to check it again.
-func (g *Gateway) decideRollout(ctx context.Context, o *order, report *rollout.Report) time.Duration {
+// decideRollout advances one order, given how long its reports took to collect, and returns
+// when to check it again.
+func (g *Gateway) decideRollout(ctx context.Context, o *order, report *rollout.Report, roundTime time.Duration) time.Duration {
 	now := clock.Now()
 	if report == nil {
 		return rolloutInterval
@@ -112,7 +115,7 @@
 	live := g.liveMembers()
 	step := o.decider.Decide(rolling.Inputs{
 		Now: now, TimeLeft: timeLeft, Report: *report, VMs: len(live), Isolated: countIsolated(live), Slots: g.usableSlots(o.service, worker.TrackNew), OldSlots: g.usableSlots(o.service, worker.TrackStable),
-		CanarySlots: g.usableSlots(o.service, worker.TrackCanary),
+		CanarySlots: g.usableSlots(o.service, worker.TrackCanary), RoundTime: roundTime,
 	})
 	if step.Phase != previous {
 		g.log.Info("rollout: "+step.Phase.String(), "service", o.service, "version", o.name, "reason", step.Reason,
