rollout: a version is cleared by fewer responses

Of the good versions of TestSoakGoodOrderAlone (14 requests a second) one waited 1.5 s past its trial to be cleared, with 17 answers.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -29,8 +29,8 @@
 	// minRate and maxRate bound the compared rates.
 	minRate, maxRate = 1e-4, 0.9
 	// clearThreshold is the log-likelihood ratio below which an increase of a rate counts as
-	// ruled out: a version with that increase passes once in e^clearThreshold (100) times.
-	clearThreshold = 4.6
+	// ruled out: a version with that increase passes once in e^clearThreshold (33) times.
+	clearThreshold = 3.5
 	// clearIncrease is the smallest increase that is ruled out; smaller ones take too many
 	// responses.
 	clearIncrease = 0.3
