object, gateway: a release is remembered for the next era, also if it was only told

A released request was refused again after the store's second return from a copy that still had its entry: VMs that had heard of the release from a peer, and not from the store's changes, knew of no removal. And what the store tells of the era's changes is used even if the question named an earlier era.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -117,7 +117,7 @@
 	changes, at, err := g.cfg.Store.Watch(ctx, g.cfg.Codec.QuarantineKind(), since, time.Millisecond)
 	g.recordEra(at)
 	switch {
-	case at.Era > since.Era: // Also after an error, which may be due to the era.
+	case at.Era > since.Era && len(changes) == 0: // Also after an error, which may be due to the era.
 		return g.quarantineChanges(ctx, f, since)
 	case errors.Is(err, ErrHistoryExpired):
 		return nil, nil
--- a/state/object/carry.go
+++ b/state/object/carry.go
@@ -70,24 +70,41 @@
 
 // disown records that an object is not carried for disownedFor.
 func (k *kindReplica) disown(name string, now time.Time) {
-	maps.DeleteFunc(k.disowned, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(k.disowned, func(_ string, d disowned) bool { return !now.Before(d.until) })
 	if k.disowned == nil {
-		k.disowned = make(map[string]time.Time)
+		k.disowned = make(map[string]disowned)
 	}
 	if len(k.disowned) < maxDisowned {
-		k.disowned[name] = now.Add(disownedFor)
+		k.disowned[name] = disowned{until: now.Add(disownedFor), at: k.version}
 	}
 }
 
+// disowned is an object that was removed from the store at a version or before, which a
+// replica need not have heard of.
+type disowned struct {
+	until time.Time
+	at    Version
+}
+
+// isDisowned reports whether an object is not carried.
+func (k *kindReplica) isDisowned(name string, now time.Time) bool {
+	return now.Before(k.disowned[name].until)
+}
+
 // carryOver determines the carried states when a new era replaces the objects in use.
 // The caller has set k.objects; before holds what was in use, deleted the versions of
 // earlier deletions by name.
 func (k *kindReplica) carryOver(before map[string]Object, deleted map[string]Version, now time.Time) {
 	k.carried = make(map[string]carriedState)
+	for name, d := range k.disowned {
+		if now.Before(d.until) {
+			deleted[name] = d.at
+			delete(before, name)
+		}
+	}
 	for name, o := range before {
 		stored, ok := k.objects[name]
 		switch {
-		case now.Before(k.disowned[name]):
 		case !ok && k.policy.Missing != 0:
 			k.carried[name] = carriedState{object: o, until: endAfter(k.policy.Missing, now)}
 		case ok && !bytes.Equal(o.Spec, stored.Spec) && k.policy.newer(o, stored):
@@ -196,7 +213,7 @@
 	stored, ok := k.objects[c.Name]
 	held, isCarried := k.carried[c.Name]
 	switch {
-	case !c.Deleted && now.Before(k.disowned[c.Name]):
+	case !c.Deleted && k.isDisowned(c.Name, now):
 		return false
 	case isCarried && (held.deleted || c.Deleted || !k.policy.newer(c.Object, held.object)):
 		return false
--- a/state/object/era_test.go
+++ b/state/object/era_test.go
@@ -265,3 +265,37 @@
 		t.Error("the replica took a state of its own era")
 	}
 }
+
+// Guards against objects that come back with a new era, since their removal became known by
+// other means than the store's changes.
+func TestEndCarriedOutlastsNextEra(t *testing.T) {
+	const kind = "k"
+	entry := object.Object{Name: "a", Version: object.Version{Revision: 5}, Spec: []byte(`1`)}
+	cases := map[string]struct {
+		copied []object.Object
+		after  time.Duration
+		used   bool
+	}{
+		"copy without the object":       {nil, 0, false},
+		"copy with the object":          {[]object.Object{entry}, 0, false},
+		"copy with the object, later":   {[]object.Object{entry}, time.Minute, true},
+		"without the object, later":     {nil, time.Minute, true},
+		"copy with a newer object, now": {[]object.Object{{Name: "a", Version: object.Version{Era: 1, Revision: 9}, Spec: []byte(`2`)}}, 0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			r := object.NewReplica(object.ReplicaConfig{
+				Now:    func() time.Time { return now },
+				Policy: func(string) object.Policy { return object.Policy{Missing: object.Unlimited, Deleted: object.Unlimited} },
+			})
+			r.Reset(kind, []object.Object{entry}, object.Version{Revision: 6})
+			r.EndCarried(kind, entry.Name)
+			now = now.Add(c.after)
+			r.Reset(kind, c.copied, object.Version{Era: 1, Revision: 9})
+			if used := len(r.Objects(kind)) == 1; used != c.used {
+				t.Errorf("the object is in use: %t, want %t", used, c.used)
+			}
+		})
+	}
+}
--- a/state/object/kind.go
+++ b/state/object/kind.go
@@ -47,8 +47,8 @@
 	passedEra, historyOfEra bool
 	// carried holds the states of earlier eras that are in use, by name.
 	carried map[string]carriedState
-	// disowned holds until when objects are not carried, by name.
-	disowned map[string]time.Time
+	// disowned holds the objects that are not carried, by name.
+	disowned map[string]disowned
 	// generation counts the changes of the objects in use.
 	generation uint64
 }
