--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -81,10 +81,10 @@
 	kind       Kind
 	notRun     bool
 	peerClosed bool
-	step        string
-	worker      string
-	cause       error
-	header      http.Header
+	step       string
+	worker     string
+	cause      error
+	header     http.Header
 	// status is the HTTP status of a refusal by the upstream, or 0.
 	status int
 }
