--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -192,8 +192,7 @@
 
 // Cleared reports whether the responses rule out that the version fails or is slow much more
 // often than the old one. The given number of slow requests in flight, which are counted
-// already, tell nothing yet. That no alarm was raised rules out nothing, since few responses
-// raise none.
+// already, tell nothing yet. Silence of the alarm does not: few responses raise none.
 func (a *Analyzer) Cleared(undecided int) bool {
 	scores, old := a.routes[allRoutes], a.baseline[allRoutes]
 	if scores == nil || old == nil {
--- a/coordination/rollout/canary.go
+++ b/coordination/rollout/canary.go
@@ -72,3 +72,55 @@
 	c.fraction, c.since, c.old, c.tried = fraction, now, old.Ended, tried.Ended
 	return true
 }
+
+// growMinCanaryFraction raises the fraction of the keys in the trial if the responses expected
+// until its end are too few to judge the version. The canary workers must have the capacity.
+func (d *Decider) growMinCanaryFraction(in Inputs, drain time.Duration) {
+	old, elapsed := oldResponses(in.Report), in.Now.Sub(d.trialSince)
+	if d.Phase() != rollout.PhaseTrial || d.analyzer.Cleared(in.Report.Undecided) || old < minLatencySamples || elapsed < minGrowInterval {
+		return
+	}
+	rate := float64(old) / elapsed.Seconds()
+	left := max(in.TimeLeft-drain, minTrial/2)
+	needed := min(wantedResponses/(rate*left.Seconds()), maxCanaryFraction, maxCanaryUse*float64(in.CanarySlots)/max(d.peak, 1))
+	if needed < minCanaryGrowth*d.minCanaryFraction {
+		return
+	}
+	d.minCanaryFraction = needed
+	for route := range in.Report.Old {
+		d.analyzer.Resettle(route, in.Now)
+	}
+	d.analyzer.Resettle(allRoutes, in.Now)
+}
+
+// growCanaries returns a larger fraction of the keys for each route that has too little of
+// its traffic in the trial, since a version may be bad on that route only.
+func (d *Decider) growCanaries(in Inputs, latency time.Duration) map[string]float64 {
+	if d.Phase() != rollout.PhaseTrial {
+		return nil
+	}
+	var fractions map[string]float64
+	responses := in.Report.NewByRoute()
+	for route, old := range in.Report.Old {
+		if float64(old.Ended) < minResponses/d.minCanaryFraction {
+			continue
+		}
+		c, ok := d.canaries[route]
+		if !ok {
+			c = &canaryRoute{fraction: worker.CanaryFraction, since: d.trialSince}
+			d.canaries[route] = c
+		}
+		if c.grow(in.Now, d.trialSince, old, responses[route], coldFactor*latency) {
+			d.analyzer.Resettle(route, in.Now)
+		}
+		fraction := max(c.fraction, d.minCanaryFraction)
+		if fraction == worker.CanaryFraction {
+			continue
+		}
+		if fractions == nil {
+			fractions = make(map[string]float64)
+		}
+		fractions[route] = fraction
+	}
+	return fractions
+}
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -260,18 +260,24 @@
 	e.waitWithin(restoreWithin+listEvery, "the released entry is deleted again", func() bool { return len(e.storedQuarantine()) == 0 })
 }
 
-// Guards against a release that is undone, since the VMs hear of the removed entry only after
-// its removal.
-func TestReleaseBeforeQuarantineIsRestoredHolds(t *testing.T) {
-	t.Parallel()
+// startFleetWithQuarantine starts a fleet in which a request is quarantined, and returns the
+// stored entry.
+func startFleetWithQuarantine(t *testing.T) (*eraFleet, object.Object) {
 	f, _ := startCrashFleet(t)
 	e := &eraFleet{fleet: f, version: 2}
 	stop := make(chan struct{})
 	go f.sendUntilStopped(poisonPath, 150*time.Millisecond, stop)
 	f.waitFor("the request is quarantined and stored", func() bool { return len(e.storedQuarantine()) == 1 })
 	close(stop)
-	entry := e.storedQuarantine()[0]
-	withoutEntry := f.store.copyState()
+	return e, e.storedQuarantine()[0]
+}
+
+// Guards against a release that is undone, since the VMs hear of the removed entry only after
+// its removal.
+func TestReleaseBeforeQuarantineIsRestoredHolds(t *testing.T) {
+	t.Parallel()
+	e, entry := startFleetWithQuarantine(t)
+	f, withoutEntry := e.fleet, e.store.copyState()
 	withoutEntry.kinds[kindQuarantine] = nil
 	setQuarantineUnavailable := func(kind string) {
 		for _, v := range f.vms {
