--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -18,7 +18,8 @@
 const knowledgeInterval = 500 * time.Millisecond
 
 // knowledge reports, in logs and metrics, the age of the replica and the number of
-// full copies sent to peers. It influences no decision. It is safe for concurrent use.
+// full copies sent to peers, and holds what this VM knows of the store's eras. It is safe for
+// concurrent use.
 type knowledge struct {
 	mu sync.Mutex
 	// overdue maps each kind that is older than Bounds.ApplyWithin to its greatest
