--- a/state/worker/exit.go
+++ b/state/worker/exit.go
@@ -46,14 +46,6 @@
 	return first
 }
 
-// HasExitedSince reports whether the worker's process is known to have exited since a time.
-// That exit closed the connections that were last used before.
-func (l *Load) HasExitedSince(at time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.uncertain && l.lastExit().After(at)
-}
-
 // RecordConnectionClosed records that the worker closed one connection during a request.
 // Its process may have exited, or only a response was lost. It reports whether no exit was
 // known within duplicateSignalWindow.
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -166,8 +166,7 @@
 // readConnection updates what this VM knows of a worker's process from the connection of a
 // response.
 func (q *request) readConnection(c placement.Choice, res *upstream.Response) {
-	lastUsed, reconnected := res.Reconnected()
-	if reconnected && !c.Load().HasExitedSince(lastUsed) && c.Load().RecordAllConnectionsClosed() {
+	if res.Reconnected() && c.Load().RecordAllConnectionsClosed() {
 		q.handler.logExit(failedExchange{requestID: q.id, worker: c.Worker()}, exitAllConnections)
 	}
 	if c.Load().ConfirmAlive(res.ConnectionOpened()) {
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -80,10 +80,13 @@
 	kind       Kind
 	notRun     bool
 	peerClosed bool
-	step       string
-	worker     string
-	cause      error
-	header     http.Header
+	// reconnected is set if the upstream had closed the idle connections that
+	// were tried first.
+	reconnected bool
+	step        string
+	worker      string
+	cause       error
+	header      http.Header
 	// status is the HTTP status of a refusal by the upstream, or 0.
 	status int
 }
@@ -100,6 +103,10 @@
 // when its process exits.
 func (e *Error) PeerClosed() bool { return e.peerClosed }
 
+// Reconnected reports whether a new connection was opened because the upstream had
+// closed every idle connection that could have been reused.
+func (e *Error) Reconnected() bool { return e.reconnected }
+
 // Header returns the response header of a refusal by the upstream, or nil.
 func (e *Error) Header() http.Header { return e.header }
 
@@ -290,7 +297,7 @@
 	if req.AtMostOnce {
 		idleLimit = min(idleLimit, c.cfg.AtMostOnceMaxIdle)
 	}
-	var closedLastUsed time.Time
+	foundClosed := false
 	for {
 		idle := p.popIdle(idleLimit, c.cfg.Now())
 		if idle == nil {
@@ -300,9 +307,7 @@
 			return idle, nil
 		}
 		idle.close()
-		if closedLastUsed.IsZero() {
-			closedLastUsed = idle.idleSince // The first one is the most recently used.
-		}
+		foundClosed = true
 	}
 	if req.ReuseOnly {
 		return nil, &Error{kind: KindUnreachable, notRun: true, step: "connect", worker: w.ID, cause: ErrNoIdleConnection}
@@ -311,7 +316,7 @@
 	if err != nil {
 		return nil, err
 	}
-	created.closedLastUsed = closedLastUsed
+	created.reconnected = foundClosed
 	return created, nil
 }
 
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -24,9 +24,9 @@
 	pool         *pool
 	idleSince    time.Time // when the last exchange on it ended
 	processStart uint64    // Worker.Start of the process it was opened to
-	// closedLastUsed is set during the first exchange if the connection was opened
-	// because the upstream had closed the idle ones: when one of them was last used.
-	closedLastUsed time.Time
+	// reconnected is set during the first exchange if the connection was opened
+	// because the upstream had closed the idle ones.
+	reconnected bool
 	// idleTimeout is how long the connection may stay idle: Config.IdleTimeout, or
 	// less by the upstream's Keep-Alive header.
 	idleTimeout time.Duration
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -40,23 +40,20 @@
 
 // Response is the response of an upstream. Close must be called.
 type Response struct {
-	closedLastUsed time.Time
-	opened         time.Time
-	status         int
-	header         http.Header
-	length         int64
-	body           io.ReadCloser
+	reconnected bool
+	opened      time.Time
+	status      int
+	header      http.Header
+	length      int64
+	body        io.ReadCloser
 }
 
 // Status returns the HTTP status.
 func (r *Response) Status() int { return r.status }
 
 // Reconnected reports whether a new connection was opened because the upstream had
-// closed every idle connection that could have been reused, and when one of these was
-// last used.
-func (r *Response) Reconnected() (lastUsed time.Time, ok bool) {
-	return r.closedLastUsed, !r.closedLastUsed.IsZero()
-}
+// closed every idle connection that could have been reused.
+func (r *Response) Reconnected() bool { return r.reconnected }
 
 // ConnectionOpened returns when the connection of the exchange was opened.
 func (r *Response) ConnectionOpened() time.Time { return r.opened }
@@ -118,7 +115,7 @@
 	x.conn.abort()
 	x.release(false)
 	<-x.sendDone
-	e := &Error{kind: KindBroken, notRun: !x.writeStarted.Load(), step: "read head", worker: x.worker.ID, cause: err}
+	e := &Error{kind: KindBroken, reconnected: x.conn.reconnected, notRun: !x.writeStarted.Load(), step: "read head", worker: x.worker.ID, cause: err}
 	switch {
 	case x.bodyErr != nil:
 		e.kind, e.step, e.cause = KindRequestBody, "read the caller's body", x.bodyErr
@@ -180,9 +177,9 @@
 		return nil, &Error{kind: KindBroken, step: "answer has neither length nor chunks", worker: x.worker.ID}
 	}
 	body := &responseBody{exchange: x, source: res.Body, reusable: !res.Close && !closeDelimited}
-	closedLastUsed := x.conn.closedLastUsed
-	x.conn.closedLastUsed = time.Time{}
-	return &Response{closedLastUsed: closedLastUsed, opened: x.conn.opened, status: res.StatusCode, header: res.Header, length: res.ContentLength, body: body}, nil
+	reconnected := x.conn.reconnected
+	x.conn.reconnected = false
+	return &Response{reconnected: reconnected, opened: x.conn.opened, status: res.StatusCode, header: res.Header, length: res.ContentLength, body: body}, nil
 }
 
 // readHead reads the final response header. It skips informational responses and,
