rollout: a service whose counts are lost is not at rest

Reports count all requests now, the decider keeps their greatest number, and a VM that has just begun to decide waits 3 s before it takes a service for one at rest.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -50,8 +50,8 @@
 	maxShift          = 2 * time.Second
 	minShiftResponses = 100
 	// minProofResponses is the number of responses without which a version is not proved,
-	// however late that is, unless the old version has as few. VMs that start again have
-	// lost what they had counted.
+	// however late that is, unless the service has had fewer requests. VMs that start again
+	// have lost what they had counted.
 	minProofResponses = 20
 	// drainFactor is the expected time to drain as a multiple of the old version's typical
 	// latency, bounded by minDrain and maxDrain. completionAllowance is the time to learn
@@ -169,6 +169,10 @@
 	peakAt time.Time
 	// closed is set once old workers get no more requests, and stays set.
 	closed bool
+	// begunAt is when this VM began to decide, and busiest the greatest number of requests in
+	// the reports since. VMs that start again lose their counts.
+	begunAt time.Time
+	busiest int
 	// canaries holds the keys in the trial by route.
 	canaries map[string]*canaryRoute
 	// minCanaryFraction is the minimum fraction of the keys in the trial on all routes.
@@ -201,6 +205,7 @@
 // Decide evaluates the reports and advances the order.
 func (d *Decider) Decide(in Inputs) Step {
 	d.adoptPhase(in)
+	d.updateBusiest(in)
 	latency := maxTypicalLatency(in.Report.Old)
 	d.analyzer.SetTiming(Timing{
 		Settle:  max(settleFactor*latency, minSettle),
@@ -276,6 +281,20 @@
 	}
 }
 
+// updateBusiest updates the greatest number of requests in the reports.
+func (d *Decider) updateBusiest(in Inputs) {
+	if d.begunAt.IsZero() {
+		d.begunAt = in.Now
+	}
+	d.busiest = max(d.busiest, in.Report.Requests, oldResponses(in.Report))
+}
+
+// atRest reports whether the service has so few requests that a version is completed without
+// being judged.
+func (d *Decider) atRest(now time.Time) bool {
+	return d.busiest < minProofResponses && now.Sub(d.begunAt) >= minTrial
+}
+
 // updatePeak updates the decaying peak of the requests in flight.
 func (d *Decider) updatePeak(in Inputs) {
 	decay := math.Exp(-in.Now.Sub(d.peakAt).Seconds() / peakDecay.Seconds())
@@ -292,7 +311,7 @@
 		d.reason = fmt.Sprintf("is tried out for %s more", (in.TimeLeft - drain).Round(time.Millisecond))
 	case elapsed < minTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", elapsed.Round(time.Millisecond), responses)
-	case !d.analyzer.Cleared(in.Report.Undecided) && oldResponses(in.Report) >= minProofResponses:
+	case !d.analyzer.Cleared(in.Report.Undecided) && !d.atRest(in.Now):
 		d.reason = fmt.Sprintf("%d answers do not tell whether it is slow or fails", responses)
 	case d.peak > maxSlotUse*float64(in.Slots), float64(in.Slots) < minSlotRatio*float64(in.OldSlots):
 		d.reason = fmt.Sprintf("waits for workers: %d slots are there, %d of old ones, and up to %.0f requests were under way lately",
@@ -323,7 +342,7 @@
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
 	}
-	if judged := int(total(in.Report.NewByRoute()).Ended); judged < minProofResponses && oldResponses(in.Report) >= minProofResponses {
+	if judged := int(total(in.Report.NewByRoute()).Ended); judged < minProofResponses && !d.atRest(in.Now) {
 		d.reason = fmt.Sprintf("has served what its share allows for %s, with %d answers only", elapsed.Round(time.Millisecond), judged)
 		return
 	}
--- a/coordination/rollout/evidence_test.go
+++ b/coordination/rollout/evidence_test.go
@@ -140,3 +140,40 @@
 		before = r.New[key]
 	}
 }
+
+// Guards against taking a service for one at rest, since its VMs have lost their counts or their
+// responses tell nothing.
+func TestServiceWhoseCountsAreLostIsNotAtRest(t *testing.T) {
+	const duration, late, step = 10 * time.Second, 20 * time.Second, 100 * time.Millisecond
+	cases := map[string]struct {
+		// requests returns what the VMs report after a time.
+		requests func(at time.Duration) int
+		want     rollout.Phase
+	}{
+		"a service at rest": {func(time.Duration) int { return 5 }, rollout.PhaseProved},
+		"VMs start again": {func(at time.Duration) int {
+			if at > 6*time.Second {
+				return 5
+			}
+			return int(14 * at.Seconds())
+		}, rollout.PhaseTrial},
+		"responses tell nothing": {func(at time.Duration) int { return int(14 * at.Seconds()) }, rollout.PhaseTrial},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := rolling.NewDecider(rolling.DeciderConfig{Order: rollout.Order{Service: "s", Version: 2, Duration: duration}})
+			var got rollout.Phase
+			for at := time.Duration(0); at < late; at += step {
+				r := rollout.NewReport()
+				r.VMs[got], r.Requests = 1, c.requests(at)
+				got = d.Decide(rolling.Inputs{Now: time.Unix(1000, 0).Add(at), TimeLeft: duration - at, Report: r, VMs: 1, Slots: 90}).Phase
+				if got >= rollout.PhaseProved {
+					break
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s after %s, want %s", got, late, c.want)
+			}
+		})
+	}
+}
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -317,7 +317,7 @@
 	undecided := s.countRunning()
 	r := rollout.NewReport()
 	r.Merge(s.report)
-	r.Undecided = undecided
+	r.Undecided, r.Requests = undecided, int(s.requests)
 	r.VMs[s.phase] = 1
 	r.InFlightOld = s.placing
 	return r
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +57,7 @@
 func toReport(o *order, r *rollout.Report) *peerpb.RolloutReport {
 	message := &peerpb.RolloutReport{
 		Service: o.service, Version: uint64(o.version), UnderWayOld: uint32(max(r.InFlightOld, 0)),
-		UnderWayNew: uint32(max(r.InFlightNew, 0)), Undecided: uint32(max(r.Undecided, 0)), Keys: r.Keys.Bytes(),
+		UnderWayNew: uint32(max(r.InFlightNew, 0)), Undecided: uint32(max(r.Undecided, 0)), Requests: uint64(max(r.Requests, 0)), Keys: r.Keys.Bytes(),
 	}
 	for _, vms := range r.VMs {
 		message.Vms = append(message.Vms, uint32(vms))
@@ -79,7 +80,7 @@
 func fromReport(message *peerpb.RolloutReport) rollout.Report {
 	r := rollout.NewReport()
 	r.InFlightOld, r.InFlightNew = int(message.GetUnderWayOld()), int(message.GetUnderWayNew())
-	r.Undecided = int(message.GetUndecided())
+	r.Undecided, r.Requests = int(message.GetUndecided()), int(min(message.GetRequests(), math.MaxInt32))
 	r.Keys = rollout.ParseSketch(message.GetKeys())
 	for phase, vms := range message.GetVms()[:min(len(message.GetVms()), len(r.VMs))] {
 		r.VMs[phase] = int(vms)
--- a/state/rollout/report.go
+++ b/state/rollout/report.go
@@ -61,6 +61,9 @@
 	New map[TallyKey]Tally
 	// InFlightOld and InFlightNew count the requests in flight at workers of each version.
 	InFlightOld, InFlightNew int
+	// Requests counts the requests for the service since the VMs know the order, with those
+	// that tell nothing of a version.
+	Requests int
 	// Undecided counts the canary requests in flight that are slow, and not very slow yet.
 	Undecided int
 	// Keys estimates the distinct keys of the requests in New.
@@ -90,6 +93,7 @@
 	r.InFlightOld += other.InFlightOld
 	r.InFlightNew += other.InFlightNew
 	r.Undecided += other.Undecided
+	r.Requests += other.Requests
 	r.Keys.Merge(other.Keys)
 }
 
