gateway: the release of an earlier entry does not undo a new one

Found in review: an entry that a VM saved was taken for released if the store had removed any entry of that request since the version that the VM knew, which is up to 10 s old. A request that ends workers again within 10 s of its release would have run on. The removal counts only if this entry, or one made at about the same time, had been saved before it. TestOnlyReleaseOfSameEntryCounts.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -249,6 +249,9 @@
 	return func() int { return len(g.heldBack()) }
 }
 
+// WasReleased exports wasReleased.
+var WasReleased = wasReleased
+
 // CompilePause exports compilePause.
 var CompilePause = compilePause
 
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/ryehill/ryehill/internal/gateway"
+	"github.com/ryehill/ryehill/state/object"
+	"github.com/ryehill/ryehill/state/quarantine"
 	"github.com/ryehill/ryehill/state/route"
 )
 
@@ -218,3 +220,40 @@
 		t.Errorf("a VM begins to serve with %d quarantined requests, want 1", n)
 	}
 }
+
+// Guards against saved entries that undo a release, and against releases of earlier entries
+// that let through a request which ends workers again.
+func TestOnlyReleaseOfSameEntryCounts(t *testing.T) {
+	now := time.Now().Truncate(time.Millisecond)
+	entryOf := func(since time.Time) quarantine.Entry {
+		return quarantine.Entry{Subject: "GET h/", Since: since, Until: since.Add(time.Minute), Times: 1}
+	}
+	saved := func(since time.Time) object.Event {
+		raw, err := entryOf(since).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return object.Event{Object: object.Object{Spec: raw}}
+	}
+	own, other, earlier, removal := saved(now), saved(now.Add(-50*time.Millisecond)), saved(now.Add(-time.Minute)), object.Event{Deleted: true}
+	cases := map[string]struct {
+		changes  []object.Event
+		carried  bool
+		released bool
+	}{
+		"saved alone":                           {[]object.Event{own}, false, false},
+		"other saved, removed, saved":           {[]object.Event{other, removal, own}, false, true},
+		"earlier entry removed, saved":          {[]object.Event{removal, own}, false, false},
+		"earlier entry saved, removed, saved":   {[]object.Event{earlier, removal, own}, false, false},
+		"carried, removed in this era":          {[]object.Event{removal, own}, true, true},
+		"carried, nothing removed":              {[]object.Event{own}, true, false},
+		"carried, removed, saved for later run": {[]object.Event{removal, saved(now.Add(time.Minute))}, true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := gateway.WasReleased(c.changes, entryOf(now), c.carried); got != c.released {
+				t.Errorf("released: %t, want %t", got, c.released)
+			}
+		})
+	}
+}
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -65,7 +65,7 @@
 
 func (g *Gateway) saveQuarantine(ctx context.Context, entries []quarantine.Entry) error {
 	for _, e := range entries {
-		if err := g.saveEntry(ctx, e, g.quarantines.detectedAt(e.Fingerprint)); err != nil {
+		if err := g.saveEntry(ctx, e, g.quarantines.detectedAt(e.Fingerprint), false); err != nil {
 			return err
 		}
 	}
@@ -81,8 +81,9 @@
 }
 
 // saveEntry saves an entry, and removes it again if it was released since a version: other
-// VMs make and save entries of the same requests, and a save may wait for the store.
-func (g *Gateway) saveEntry(ctx context.Context, e quarantine.Entry, since object.Version) error {
+// VMs make and save entries of the same requests, and a save may wait for the store. carried
+// is set for an entry that was in the store in an earlier era.
+func (g *Gateway) saveEntry(ctx context.Context, e quarantine.Entry, since object.Version, carried bool) error {
 	kind := g.cfg.Codec.QuarantineKind()
 	raw, err := e.Encode()
 	if err != nil {
@@ -92,7 +93,7 @@
 		return errors.Wrap(err, "quarantine: save entry")
 	}
 	changes, err := g.quarantineChanges(ctx, e.Fingerprint, since)
-	if err != nil || !wasReleased(changes, e) {
+	if err != nil || !wasReleased(changes, e, carried) {
 		return err
 	}
 	g.log.Info("quarantine: released before this VM saved it", "fingerprint", e.Fingerprint.String())
@@ -127,19 +128,21 @@
 	return slices.DeleteFunc(changes, func(c object.Event) bool { return c.Name != f.String() }), nil
 }
 
-// wasReleased reports whether an entry is the one that was removed last: it was made at about
-// the same time as those saved before and after the removal.
-func wasReleased(changes []object.Event, e quarantine.Entry) bool {
+// wasReleased reports whether an entry is the one that was removed: it, or another one that was
+// made at about the same time, had been saved before. The removal of an earlier entry says
+// nothing of a request that ends workers again.
+func wasReleased(changes []object.Event, e quarantine.Entry, saved bool) bool {
 	removed := false
 	for _, c := range changes {
 		if c.Deleted {
-			removed = true
+			removed = removed || saved
 			continue
 		}
-		saved, err := decodeEntry(c.Spec, clock.Now())
-		if err != nil || e.Since.Sub(saved.Since).Abs() >= saveForOthersAfter {
+		other, err := decodeEntry(c.Spec, clock.Now())
+		if err != nil || e.Since.Sub(other.Since).Abs() >= saveForOthersAfter {
 			return false
 		}
+		saved = true
 	}
 	return removed
 }
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return errors.Wrap(err, "quarantine: decode entry")
 	}
-	return g.saveEntry(ctx, e, c.Version)
+	return g.saveEntry(ctx, e, c.Version, true)
 }
 
 // restoreQuarantine saves quarantined requests again that the store lost, and deletes
