gateway: what is learned from a seed names a source

ryehill status showed 'limited: w1 list na by 0.5 a second': of a seed only the address is known, so what a VM learned from it bore an empty name.

--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -19,8 +19,8 @@
 const (
 	// maxSignals bounds the workers whose signals are read from one message.
 	maxSignals = 256
-	// unnamedPeer names the source of signals in a sync request, which does not carry the
-	// name of its sender.
+	// unnamedPeer names the source of signals in a sync request or in the reply of a seed,
+	// neither of which carries the name of its sender.
 	unnamedPeer = "a VM that asked for news"
 	// exitReported is the evidence of a suspected exit that a peer has observed.
 	exitReported = "reported by peer"
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -50,12 +51,13 @@
 	g.recordListedVMs(reply.GetListedVms())
 	g.applyEjections(reply.GetSparedMillis())
 	g.applyLoads(reply.GetLoads())
-	g.applySignals(request.from.VM, reply.GetSignals())
+	source := cmp.Or(request.from.VM, unnamedPeer) // Of a seed only the address is known.
+	g.applySignals(source, reply.GetSignals())
 	if request.hold > 0 {
 		g.loadsMark.set(request.from.VM, reply.GetLoadsMark())
 	}
 	g.balancer.table.Merge(fromBalanced(reply.GetBalanced()))
-	g.applyEntries(request.from.VM, reply.GetQuarantined()) // Before the state with which this VM may begin to serve.
+	g.applyEntries(source, reply.GetQuarantined()) // Before the state with which this VM may begin to serve.
 	g.recordOutage(clock.Now())
 	for _, d := range reply.GetDeltas() {
 		if d, err = unpack(d); err != nil {
