reach, gateway: connections that a path loses at one moment blame no worker and no request

Callers saw the request of nearly all clients refused for ten minutes. Cause: failures were verified by what comes after them. A path that is lost without a sign and comes back before a check, resetting its connections, made each of them a worker that hung up; a request in flight at three was quarantined. Why it works: three connections and more that fail within 0.15 s are verified by their workers alone. If half of them answer, what was concluded is void.

--- a/coordination/reach/check.go
+++ b/coordination/reach/check.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,17 @@
 	Checks int
 }
 
+// PathReturned means that open connections to many workers failed at one moment though most of
+// these live: this VM's path to them had failed, and works again. What the caller concluded
+// from failures since then is void; once it is discarded, the caller calls Monitor.Discard.
+type PathReturned struct {
+	Since time.Time
+	// Alive and Ended are how many of the failed workers answered, and did not.
+	Alive, Ended int
+	checkedAt    time.Time
+}
+
+func (PathReturned) isChange()   {}
 func (Unchanged) isChange()      {}
 func (BecameIsolated) isChange() {}
 func (Recovered) isChange()      {}
@@ -43,6 +55,8 @@
 	// the others.
 	Reached int
 	Failed  []string
+	// Alive and Ended are how many of the workers of Burst answered, and did not.
+	Alive, Ended int
 	// Workers is the number of workers that there are.
 	Workers int
 }
@@ -80,6 +94,19 @@
 	return suspects
 }
 
+// Burst returns the workers of an unverified burst, which a check has to include; none if there
+// is no burst.
+func (m *Monitor) Burst() (workers []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, f := range m.unverified {
+		if m.inBurst(f) {
+			workers = append(workers, id)
+		}
+	}
+	return workers
+}
+
 // RecordCheck records the result of a check. Where there is at most one worker, or none was
 // checked, nothing can tell a failure of this VM from one of the worker, so failures count
 // as verified.
@@ -90,6 +117,10 @@
 		defer m.mu.Unlock()
 		return m.recordRecheck(c)
 	}
+	if !m.burstSince.IsZero() && m.burstSince.Before(c.StartedAt) && c.Alive > 0 && c.Alive >= c.Ended {
+		defer m.mu.Unlock()
+		return PathReturned{Since: m.burstSince, Alive: c.Alive, Ended: c.Ended, checkedAt: c.StartedAt}
+	}
 	if c.Reached > 0 || len(c.Failed) == 0 || c.Workers <= 1 {
 		due := m.verify(func(f failure) bool { return f.at.Before(c.StartedAt) })
 		m.mu.Unlock()
@@ -114,6 +145,24 @@
 	return change
 }
 
+// Discard ends a burst that proves nothing against its workers: the conclusions since then
+// count as not verified.
+func (m *Monitor) Discard(p PathReturned) {
+	m.mu.Lock()
+	var void []conclusion
+	m.pending = slices.DeleteFunc(m.pending, func(c conclusion) bool {
+		if c.at.Before(p.Since) {
+			return false
+		}
+		void = append(void, c)
+		return true
+	})
+	due := m.verify(func(f failure) bool { return f.at.Before(p.checkedAt) })
+	m.mu.Unlock()
+	run(void, false)
+	run(due, true)
+}
+
 // isolate begins an isolation. mu is held.
 func (m *Monitor) isolate(failedWorkers int) Change {
 	now := m.cfg.Now()
@@ -123,6 +172,7 @@
 		m.needed = min(2*m.needed, maxRecoveryChecks)
 	}
 	m.isolatedSince, m.isolatedAt, m.successes = m.firstUnverified(now), now, 0
+	m.burstSince, m.brokenAt = time.Time{}, [minBurst]time.Time{}
 	clear(m.unverified)
 	m.isolated.Store(true)
 	m.quiet.Store(false)
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -12,6 +12,10 @@
 // void, and its requests have to go through another VM, a proxy. An isolated VM checks
 // workers until they are reachable again.
 //
+// Open connections to several workers that fail at one moment are a burst. Either the workers
+// ended together or the path failed, possibly for so short a time that it works again by the
+// next check. A response does not verify a burst; a check of the failed workers does.
+//
 // Without failures a Monitor costs one atomic load for each response.
 //
 // # Usage
@@ -53,6 +57,10 @@
 	// openConnectionsTTL is how long a response proves that the open connections of an
 	// isolated VM still work.
 	openConnectionsTTL = time.Second
+	// minBurst is the number of workers whose open connections fail within burstWindow in a
+	// burst.
+	minBurst    = 3
+	burstWindow = settleDelay
 	// maxPending bounds the conclusions that wait for verification.
 	maxPending = 4096
 )
@@ -74,6 +82,10 @@
 	mu sync.Mutex
 	// unverified holds the first unverified failure of each worker.
 	unverified map[string]failure
+	// brokenAt holds the times of the last failures of open connections, the newest first,
+	// and burstSince the first one of a burst that is not verified, zero if there is none.
+	brokenAt   [minBurst]time.Time
+	burstSince time.Time
 	pending    []conclusion
 	lastCheck  time.Time
 	// isolatedSince is the first failure of the current or last isolation.
@@ -90,6 +102,8 @@
 	// opening is set if the connection could not be opened. Responses on connections that
 	// were opened earlier do not verify such a failure.
 	opening bool
+	// broken is set if an open connection failed first.
+	broken bool
 }
 
 // conclusion waits until the failures up to its time are verified.
@@ -188,13 +202,31 @@
 	m.quiet.Store(false)
 	f, known := m.unverified[worker]
 	if !known {
-		f.at = m.cfg.Now()
+		f.at, f.broken = m.cfg.Now(), !opening
+	}
+	if !known && f.broken {
+		m.recordBroken(f.at)
 	}
 	f.opening = f.opening || opening
 	m.unverified[worker] = f
 	m.notify()
 }
 
+// recordBroken records the first failure of an open connection to a worker. mu is held.
+func (m *Monitor) recordBroken(at time.Time) {
+	copy(m.brokenAt[1:], m.brokenAt[:])
+	m.brokenAt[0] = at
+	first := m.brokenAt[minBurst-1]
+	if m.burstSince.IsZero() && !first.IsZero() && at.Sub(first) <= burstWindow {
+		m.burstSince = first
+	}
+}
+
+// inBurst reports whether a failure belongs to the unverified burst. mu is held.
+func (m *Monitor) inBurst(f failure) bool {
+	return f.broken && !m.burstSince.IsZero() && !f.at.Before(m.burstSince)
+}
+
 func (m *Monitor) notify() {
 	select {
 	case m.wake <- struct{}{}:
@@ -221,6 +253,9 @@
 		m.openUntil = now.Add(openConnectionsTTL)
 	}
 	due := m.verify(func(f failure) bool {
+		if m.inBurst(f) {
+			return false
+		}
 		proof := now
 		if f.opening {
 			proof = opened
@@ -234,11 +269,17 @@
 // verify removes the failures for which verified returns true, and returns the conclusions
 // that no longer wait for any. mu is held.
 func (m *Monitor) verify(verified func(failure) bool) (due []conclusion) {
+	burst := false
 	for id, f := range m.unverified {
 		if verified(f) {
 			delete(m.unverified, id)
+		} else {
+			burst = burst || m.inBurst(f)
 		}
 	}
+	if !burst {
+		m.burstSince, m.brokenAt = time.Time{}, [minBurst]time.Time{}
+	}
 	if len(m.unverified) == 0 {
 		m.quiet.Store(!m.Isolated())
 		due, m.pending = m.pending, nil
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -352,3 +352,73 @@
 		t.Errorf("%d VMs used %d of %d proxies", isolated, len(usedByAll), proxyCount)
 	}
 }
+
+// Guards against blaming workers, and requests, for connections that a path loses at one
+// moment, if it works again before the next check.
+func TestBurstIsVerifiedByItsWorkers(t *testing.T) {
+	checked := func(alive, ended int) func(m *reach.Monitor, c *manualClock) reach.Change {
+		return func(m *reach.Monitor, c *manualClock) reach.Change {
+			return m.RecordCheck(reach.Check{StartedAt: c.Now(), Reached: 3, Alive: alive, Ended: ended, Workers: 10})
+		}
+	}
+	respond := func(m *reach.Monitor, _ *manualClock) reach.Change {
+		m.RecordResponse(time.Time{})
+		return reach.Unchanged{}
+	}
+	const (
+		waits = iota
+		sound
+		void
+	)
+	cases := map[string]struct {
+		workers int
+		// apart is the time between two failures.
+		apart time.Duration
+		then  func(m *reach.Monitor, c *manualClock) reach.Change
+		want  int
+	}{
+		"a response after a burst":                {workers: 5, then: respond, want: waits},
+		"a burst of workers that live":            {workers: 5, then: checked(5, 0), want: void},
+		"a burst of workers, half of which ended": {workers: 6, then: checked(3, 3), want: void},
+		"a burst of workers, most of which ended": {workers: 5, then: checked(2, 3), want: sound},
+		"a response after two failures":           {workers: 2, then: respond, want: sound},
+		"a response after failures far apart":     {workers: 5, apart: 100 * time.Millisecond, then: respond, want: sound},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := newClock()
+			m := reach.New(reach.Config{Now: clock.Now})
+			var verdicts []bool
+			failedAt := clock.Now()
+			for i := range c.workers {
+				m.RecordBroken(fmt.Sprintf("w%d", i))
+				m.WhenVerified(func(verified bool) { verdicts = append(verdicts, verified) })
+				clock.advance(c.apart)
+			}
+			if got := len(m.Burst()) == c.workers; got != (c.workers >= 3 && c.apart == 0) {
+				t.Errorf("all failures are a burst: %v", got)
+			}
+			clock.advance(settled)
+			if change, ok := c.then(m, clock).(reach.PathReturned); ok {
+				if c.want != void || !change.Since.Equal(failedAt) || m.Verified() || len(verdicts) > 0 {
+					t.Errorf("the path returned since %s, verdicts %v before Discard", change.Since, verdicts)
+				}
+				m.Discard(change)
+			}
+			if c.want == waits {
+				if len(verdicts) > 0 || m.Verified() {
+					t.Errorf("verdicts %v, want none", verdicts)
+				}
+				return
+			}
+			if len(verdicts) != c.workers || !m.Verified() || len(m.Burst()) > 0 {
+				t.Fatalf("%d verdicts, want %d; all verified: %v", len(verdicts), c.workers, m.Verified())
+			}
+			for _, verified := range verdicts {
+				if verified != (c.want == sound) {
+					t.Errorf("verdict %v", verified)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -33,6 +33,9 @@
 	unreachableProxyPause = time.Second
 	isolatedProxyPause    = 500 * time.Millisecond
 	busyProxyPause        = 100 * time.Millisecond
+	// maxBurstChecks bounds the failed workers in a check, and burstCheckTimeout its time.
+	maxBurstChecks    = 8
+	burstCheckTimeout = 400 * time.Millisecond
 	// minListedFraction is the fraction of a region's live VMs that must reach workers for
 	// the directory to leave out those that do not.
 	minListedFraction = 0.5
@@ -72,7 +75,7 @@
 }
 
 // checkWorkers checks a worker each of this VM's hall, of another hall of its region and of
-// another region.
+// another region, and some of the workers whose connections failed at one moment.
 func (g *Gateway) checkWorkers(ctx context.Context) reach.Check {
 	check := reach.Check{StartedAt: clock.Now()}
 	s := g.snapshot.Load()
@@ -82,6 +85,19 @@
 	check.Workers = s.Workers.Len()
 	var mu sync.Mutex
 	var pending sync.WaitGroup
+	burst := g.isolation.monitor.Burst()
+	for _, id := range burst[:min(len(burst), maxBurstChecks)] {
+		pending.Go(func() {
+			alive := g.answersCheck(ctx, s, id)
+			mu.Lock()
+			defer mu.Unlock()
+			if alive {
+				check.Alive++
+			} else {
+				check.Ended++
+			}
+		})
+	}
 	for _, w := range g.workersToCheck(s) {
 		pending.Go(func() {
 			err := g.upstreams.Check(ctx, upstream.Worker{ID: w.ID, Start: w.Start, Address: w.Address})
@@ -103,6 +119,17 @@
 	return check
 }
 
+// answersCheck reports whether a worker answers a check within burstCheckTimeout.
+func (g *Gateway) answersCheck(ctx context.Context, s *placement.Snapshot, id string) bool {
+	w, ok := s.Workers.Get(id)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, burstCheckTimeout)
+	defer cancel()
+	return g.upstreams.Check(ctx, upstream.Worker{ID: w.ID, Start: w.Start, Address: w.Address}) == nil
+}
+
 // workersToCheck returns a random worker of each distance. Workers that have failed are
 // taken only if there are no others at the distance, and those that want no requests, or
 // few, not at all.
@@ -170,6 +197,12 @@
 func (g *Gateway) applyReach(change reach.Change) {
 	switch c := change.(type) {
 	case reach.Unchanged:
+	case reach.PathReturned:
+		g.loads.VoidFailures()
+		g.quarantines.voidHangUps(c.Since)
+		g.isolation.monitor.Discard(c)
+		g.log.Info("workers: connections lost at one moment, not by their workers", "since_ms", clock.Since(c.Since).Milliseconds(),
+			"failed_workers_alive", c.Alive, "failed_workers_ended", c.Ended)
 	case reach.BecameIsolated:
 		g.loads.VoidFailures()
 		g.quarantines.voidHangUps(c.Since)
