worker: a rest and a limit that a new process named before its entry came are kept

Cause: words are kept by process, and with the entry of the next process only a leaving signal moved to it. Why it works: words that came after the new process's start are its own.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -269,8 +269,9 @@
 			older.Entry = w.Entry
 			return &older, nil
 		}
-		leaving := g.loads.TransferLeaving(previous, &w)
-		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start, "leaving_signal_kept", leaving)
+		kept := g.loads.TransferSignals(previous, &w)
+		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start,
+			"leaving_signal_kept", kept.Leaving, "rest_kept", kept.Rest, "limit_kept", kept.RateLimit)
 		previous = nil
 	}
 	if cold > 0 {
--- a/state/worker/signal.go
+++ b/state/worker/signal.go
@@ -90,6 +90,8 @@
 	// restEnd is when the last requested rest ends, and resumeAt when this VM resumes
 	// sending requests, which is not earlier.
 	restEnd, resumeAt time.Time
+	// restAskedAt is when the worker last asked for a rest.
+	restAskedAt time.Time
 	// allowance is the number of concurrent requests of this VM that the worker may have
 	// after a rest, 0 for no limit.
 	allowance int
@@ -127,27 +129,51 @@
 	return first
 }
 
-// TransferLeaving moves a leaving signal from a process of a worker to the next one if it
-// was the next one that sent it, before its entry arrived: the previous process seemed to
-// have exited before the signal, and the next one had started. It reports whether it did.
-func (l *Loads) TransferLeaving(previous, next *Worker) bool {
+// Transferred tells which signals have moved to the next process of a worker.
+type Transferred struct{ Leaving, Rest, RateLimit bool }
+
+// TransferSignals moves the signals of a process of a worker that the next one sent before its
+// entry arrived: those that came after its start. A leaving signal moves only if the previous
+// process also seemed to have exited before: it holds for as long as the process runs.
+func (l *Loads) TransferSignals(previous, next *Worker) (moved Transferred) {
 	from, ok := l.Lookup(previous.Incarnation())
 	if !ok {
-		return false
+		return Transferred{}
 	}
-	leaving, exitedAt := from.leavingAndLastExit()
+	said, exitedAt := from.signalsAndLastExit()
 	started := time.UnixMilli(int64(next.Start))
-	if leaving.Until.IsZero() || exitedAt.IsZero() || exitedAt.After(leaving.ObservedAt) || started.After(leaving.ObservedAt) {
-		return false
+	isNext := func(at time.Time) bool { return !at.IsZero() && !started.After(at) }
+	to := l.GetOrCreate(next.Incarnation())
+	if observed := said.leaving.ObservedAt; said.isLeaving() && isNext(observed) && !exitedAt.IsZero() && !exitedAt.After(observed) {
+		to.Observe(said.leaving)
+		moved.Leaving = true
 	}
-	l.GetOrCreate(next.Incarnation()).Observe(leaving)
-	return true
+	if isNext(said.restAskedAt) {
+		to.takeRest(said)
+		moved.Rest = true
+	}
+	if limit := said.rate.last; isNext(limit.ReceivedAt) {
+		to.Observe(limit)
+		moved.RateLimit = limit.Finite()
+	}
+	return moved
 }
 
-func (l *Load) leavingAndLastExit() (leaving Leaving, exitedAt time.Time) {
+func (l *Load) signalsAndLastExit() (said signals, exitedAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.signals.leaving, l.lastExit()
+	return l.signals, l.lastExit()
+}
+
+// takeRest takes over the rest of an earlier load of the same process.
+func (l *Load) takeRest(s signals) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.restEnd.After(l.signals.restEnd) {
+		l.signals.restEnd, l.signals.resumeAt, l.signals.restAskedAt = s.restEnd, s.resumeAt, s.restAskedAt
+	}
+	l.signals.allowance = s.allowance
+	l.constrained.add(l)
 }
 
 // observeExit applies an exit that another VM observed, the first response after it, or the
@@ -181,7 +207,7 @@
 		spread := min(time.Duration(float64(rest)*restJitter), maxRestJitter)
 		s.restEnd, s.resumeAt = end, end.Add(rand.N(spread+1))
 	}
-	s.allowance = 1
+	s.allowance, s.restAskedAt = 1, now
 	return first
 }
 
--- a/state/worker/transfer_test.go
+++ b/state/worker/transfer_test.go
@@ -44,7 +44,7 @@
 					load.Observe(worker.Leaving{DrainWindow: worker.DrainWindow{ObservedAt: clock.Now(), Until: clock.Now()}})
 				}
 			}
-			if got := loads.TransferLeaving(&first, &second); got != c.want {
+			if got := loads.TransferSignals(&first, &second).Leaving; got != c.want {
 				t.Errorf("transferred %t, want %t", got, c.want)
 			}
 			if _, leaves := loads.Leaving(&second); leaves != c.want {
@@ -53,3 +53,59 @@
 		})
 	}
 }
+
+// Guards against sending requests to a process that asked for a rest, or named a limit, before
+// its entry arrived.
+func TestTransferOfRestsAndLimits(t *testing.T) {
+	const wantedRate = 4.0
+	cases := map[string]struct {
+		// started and signaled are when the second process started, and the signal came.
+		started, signaled time.Duration
+		signal            func(now time.Time) worker.Signal
+		want              worker.Transferred
+	}{
+		"rest of the second process": {
+			started: 2 * time.Second, signaled: 3 * time.Second,
+			signal: func(time.Time) worker.Signal { return worker.Rest{For: 5 * time.Second} },
+			want:   worker.Transferred{Rest: true},
+		},
+		"rest of the first process": {
+			started: 3 * time.Second, signaled: 2 * time.Second,
+			signal: func(time.Time) worker.Signal { return worker.Rest{For: 5 * time.Second} },
+		},
+		"limit of the second process": {
+			started: 2 * time.Second, signaled: 3 * time.Second,
+			signal: func(now time.Time) worker.Signal {
+				return worker.RateLimit{PerSecond: wantedRate, SentAt: now, ReceivedAt: now, From: worker.FromResponse}
+			},
+			want: worker.Transferred{RateLimit: true},
+		},
+		"limit of the first process": {
+			started: 3 * time.Second, signaled: 2 * time.Second,
+			signal: func(now time.Time) worker.Signal {
+				return worker.RateLimit{PerSecond: wantedRate, SentAt: now, ReceivedAt: now, From: worker.FromResponse}
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			begin := clock.Now()
+			loads := worker.NewLoads(clock.Now)
+			first := worker.Worker{ID: "w", Start: 1}
+			second := worker.Worker{ID: "w", Start: uint64(begin.Add(c.started).UnixMilli())}
+			clock.Advance(c.signaled)
+			loads.GetOrCreate(first.Incarnation()).Observe(c.signal(clock.Now()))
+			clock.Advance(time.Second)
+			if got := loads.TransferSignals(&first, &second); got != c.want {
+				t.Errorf("transferred %+v, want %+v", got, c.want)
+			}
+			if _, rests := loads.Availability(&second, clock.Now()).(worker.Resting); rests != c.want.Rest {
+				t.Errorf("the second process rests: %t, want %t", rests, c.want.Rest)
+			}
+			if rate, limited := loads.RateLimit(&second); limited != c.want.RateLimit || limited && rate != wantedRate {
+				t.Errorf("the second process takes %v a second, limited: %t", rate, limited)
+			}
+		})
+	}
+}
