rollout: requests count alike with both versions

Cause: a slow canary request counted while in flight, also if its client left, one at an old worker then for nothing; and requests at workers that have just started counted as slow in flight, though at their end they tell nothing. TestRequestsCountAlikeWithBothVersions fails without RecordLeft and IgnoreLatency, which it calls; it did not compile before.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -194,12 +194,23 @@
 // often than the old one. The given number of slow requests in flight, which are counted
 // already, tell nothing yet. Silence of the alarm does not: few responses raise none.
 func (a *Analyzer) Cleared(undecided int) bool {
+	scores := a.routes[allRoutes]
+	if scores == nil {
+		return false
+	}
+	slow, failed := a.clearingRatios(undecided)
+	return scores.checked >= conclusiveResponses || slow <= -clearThreshold && failed <= -clearThreshold
+}
+
+// clearingRatios returns the log-likelihood ratios that have to fall to -clearThreshold for a
+// version to be cleared: that it is slow, and that it fails, by clearIncrease more often.
+func (a *Analyzer) clearingRatios(undecided int) (slow, failed float64) {
 	scores, old := a.routes[allRoutes], a.baseline[allRoutes]
 	if scores == nil || old == nil {
-		return false
+		return 0, 0
 	}
 	counted := likelihoodRatio(float64(undecided), 0, toleratedRate(old.verySlow, old.ended, slowTolerance), clearIncrease)
-	return scores.checked >= conclusiveResponses || scores.slowSum-counted <= -clearThreshold && scores.failedSum <= -clearThreshold
+	return scores.slowSum - counted, scores.failedSum
 }
 
 // routeDelta holds the responses of the new version on a route since the last call.
--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -312,7 +312,9 @@
 	case elapsed < minTrial:
 		d.reason = fmt.Sprintf("has been tried out for %s only, with %d answers", elapsed.Round(time.Millisecond), responses)
 	case !d.analyzer.Cleared(in.Report.Undecided) && !d.atRest(in.Now):
-		d.reason = fmt.Sprintf("%d answers do not tell whether it is slow or fails", responses)
+		slow, failed := d.analyzer.clearingRatios(in.Report.Undecided)
+		d.reason = fmt.Sprintf("%d answers do not tell whether it is slow or fails (%.1f and %.1f of %.1f, %d undecided)",
+			responses, slow, failed, -clearThreshold, in.Report.Undecided)
 	case d.peak > maxSlotUse*float64(in.Slots), float64(in.Slots) < minSlotRatio*float64(in.OldSlots):
 		d.reason = fmt.Sprintf("waits for workers: %d slots are there, %d of old ones, and up to %.0f requests were under way lately",
 			in.Slots, in.OldSlots, d.peak)
--- a/coordination/rollout/evidence_test.go
+++ b/coordination/rollout/evidence_test.go
@@ -141,6 +141,51 @@
 	}
 }
 
+// Guards against a good version that looks slow, since requests count with it that do not with
+// the old one: slow ones whose clients left, and those at workers that have just started.
+func TestRequestsCountAlikeWithBothVersions(t *testing.T) {
+	const slowAfter = 100 * time.Millisecond
+	leave := func(try *rolling.Attempt) { try.RecordLeft() }
+	cases := map[string]struct {
+		took time.Duration
+		sent func(try *rolling.Attempt)
+		end  func(try *rolling.Attempt)
+		want rollout.Tally
+	}{
+		"a client leaves a fast request":        {took: slowAfter / 2, end: leave},
+		"a client leaves a slow request":        {took: slowAfter + 1, end: leave, want: rollout.Tally{Ended: 1, Slow: 1}},
+		"a client leaves a very slow request":   {took: 3 * slowAfter, end: leave, want: rollout.Tally{Ended: 1, Slow: 1, VerySlow: 1}},
+		"a slow request at a worker that began": {took: 3 * slowAfter, sent: (*rolling.Attempt).IgnoreLatency, end: leave},
+		"in flight at a worker that began":      {took: 3 * slowAfter, sent: (*rolling.Attempt).IgnoreLatency},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, track := range []worker.Track{worker.TrackStable, worker.TrackCanary} {
+				now := time.Unix(1000, 0)
+				s := rolling.NewSplitter(rolling.SplitterConfig{Service: "s", Version: 2, MaxFraction: 0.1, Now: func() time.Time { return now }})
+				s.Apply(rolling.Step{Phase: rollout.PhaseTrial, SlowAfter: map[string]time.Duration{"r": slowAfter}})
+				try := s.RecordSent(track, "r", "w", 1)
+				if c.sent != nil {
+					c.sent(try)
+				}
+				now = now.Add(c.took)
+				s.Report()
+				if c.end != nil {
+					c.end(try)
+				}
+				r := s.Report()
+				got := r.Old["r"]
+				if track == worker.TrackCanary {
+					got = r.New[rollout.TallyKey{Route: "r", Worker: "w"}]
+				}
+				if got = got.Delta(rollout.Tally{}); got != c.want {
+					t.Errorf("%s: counted as %+v, want %+v", track, got, c.want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against taking a service for one at rest, since its VMs have lost their counts or their
 // responses tell nothing.
 func TestServiceWhoseCountsAreLostIsNotAtRest(t *testing.T) {
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -230,6 +230,8 @@
 	started     time.Time
 	// running is what the attempt was counted as while it was in flight.
 	running rollout.Tally
+	// timeless is set if its latency tells nothing of the version.
+	timeless bool
 }
 
 // RecordSent records that a request was sent to an incarnation of a worker.
@@ -247,6 +249,32 @@
 	return t
 }
 
+// IgnoreLatency excludes the attempt from the comparison of latencies, for a reason known when
+// it is sent, such as a worker that has just started.
+func (t *Attempt) IgnoreLatency() {
+	s := t.splitter
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.timeless = true
+}
+
+// RecordLeft records that the client left before the end. Clients leave slow requests rather
+// than fast ones, so the attempt counts as slow, with either version, if it was so already.
+func (t *Attempt) RecordLeft() {
+	s := t.splitter
+	took := s.cfg.Now().Sub(t.started)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.inFlight, t)
+	tally := rollout.Tally{Ended: 1}
+	if t.timeless || t.track == worker.TrackNew || s.phase == rollout.PhaseOrdered || !s.markSlow(&tally, t.route, took) {
+		return
+	}
+	tally = tally.Delta(t.running)
+	addLatency(&tally, took)
+	s.addTally(t, tally)
+}
+
 // RecordEnd records the end of the attempt. An inconclusive one, such as a refusal or a
 // client that disconnected, is not counted.
 func (t *Attempt) RecordEnd(conclusive, failed bool) {
@@ -258,21 +286,26 @@
 	if !conclusive || s.phase == rollout.PhaseOrdered {
 		return
 	}
-	logMillis := math.Log(max(float64(took)/float64(time.Millisecond), 1))
-	tally := rollout.Tally{Ended: 1, LogMillis: logMillis}
+	tally := rollout.Tally{Ended: 1}
 	if failed {
 		tally.Failed = 1 // Also if it was counted as slow before.
 	} else if t.track != worker.TrackNew {
 		s.markSlow(&tally, t.route, took)
 		tally = tally.Delta(t.running)
-		tally.LogMillis = logMillis
 	}
+	addLatency(&tally, took)
 	s.addTally(t, tally)
 	if failed && t.track != worker.TrackStable && !s.suspended {
 		_, s.suspended = s.analyzer.Add(s.cfg.Now(), &s.report)
 	}
 }
 
+// addLatency adds the latency of a request to a tally.
+func addLatency(tally *rollout.Tally, took time.Duration) {
+	millis := max(float64(took)/float64(time.Millisecond), 1)
+	tally.LogMillis += math.Log(millis)
+}
+
 // addTally adds to the tallies. Beyond maxTallies, new routes and workers are ignored.
 func (s *Splitter) addTally(t *Attempt, tally rollout.Tally) {
 	if t.track == worker.TrackStable {
@@ -329,7 +362,7 @@
 	now := s.cfg.Now()
 	for t := range s.inFlight {
 		running := rollout.Tally{Ended: 1}
-		if t.track != worker.TrackCanary || !s.markSlow(&running, t.route, now.Sub(t.started)) {
+		if t.track != worker.TrackCanary || t.timeless || !s.markSlow(&running, t.route, now.Sub(t.started)) {
 			continue
 		}
 		if running.VerySlow == 0 {
--- a/transport/ingress/rollout.go
+++ b/transport/ingress/rollout.go
@@ -55,7 +55,11 @@
 	}
 	w, considered := c.Worker(), c.Considered()
 	cold := len(considered) > 0 && considered[len(considered)-1].Cold
-	return rolloutAttempt{rolloutTry: q.splitter.RecordSent(q.track, q.route.Name, w.Incarnation(), q.key), cold: cold}
+	sent := q.splitter.RecordSent(q.track, q.route.Name, w.Incarnation(), q.key)
+	if cold {
+		sent.IgnoreLatency()
+	}
+	return rolloutAttempt{rolloutTry: sent, cold: cold}
 }
 
 // answered counts a complete response. The way by a proxy makes any version slow.
@@ -74,7 +78,11 @@
 	if t.rolloutTry == nil {
 		return
 	}
-	if f.cause != retry.CauseBroken || f.notRun || f.clientGone || f.ownPath {
+	switch {
+	case f.clientGone && !f.ownPath:
+		t.rolloutTry.RecordLeft()
+		return
+	case f.cause != retry.CauseBroken, f.notRun, f.ownPath:
 		t.rolloutTry.RecordEnd(false, !timedOut(f.err))
 		return
 	}
