rollout: old workers get the time that their slow requests need

Operators saw good versions completed up to 0.14 s late where a few requests take much longer than most: 2 to 3 of 1.3 s were at old workers at the proof, for which 0.6 s was kept, five times the typical latency. Why it works: the time also follows the latency of requests in flight, the sum of squares over the sum, and the shift does not wait into it. TestOldWorkersGetTheTimeOfTheirSlowRequests fails without the factor.

--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -54,9 +54,11 @@
 	// have lost what they had counted.
 	minProofResponses = 20
 	// drainFactor is the expected time to drain as a multiple of the old version's typical
-	// latency, bounded by minDrain and maxDrain. completionAllowance is the time to learn
-	// that all VMs are drained and to store the result.
+	// latency, and inFlightDrainFactor as one of the latency of its requests in flight. The
+	// longer time counts, bounded by minDrain and maxDrain. completionAllowance is the time
+	// to learn that all VMs are drained and to store the result.
 	drainFactor         = 5
+	inFlightDrainFactor = 1.2
 	minDrain            = 600 * time.Millisecond
 	maxDrain            = 4 * time.Second
 	completionAllowance = 900 * time.Millisecond
@@ -215,7 +217,8 @@
 	if bad && d.Phase() < rollout.PhaseProved {
 		d.fire(eventRollBack, in.Now, finding.String())
 	}
-	drain := d.drainTime(latency) + min(closingRounds*in.RoundTime, maxClosingTime)
+	inFlightDrain := time.Duration(inFlightDrainFactor * float64(inFlightLatency(in.Report.Old)))
+	drain := d.drainTime(latency, inFlightDrain) + min(closingRounds*in.RoundTime, maxClosingTime)
 	d.updatePeak(in)
 	d.growMinCanaryFraction(in, drain)
 	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
@@ -233,7 +236,7 @@
 	case rollout.PhaseTrial:
 		d.checkTrial(in, drain)
 	case rollout.PhaseShift:
-		d.checkShift(in)
+		d.checkShift(in, inFlightDrain)
 	case rollout.PhaseProved:
 		d.checkDrain(in)
 	default: // final
@@ -335,11 +338,11 @@
 }
 
 // checkShift proves the version after enough time and responses in the shift.
-func (d *Decider) checkShift(in Inputs) {
+func (d *Decider) checkShift(in Inputs, inFlightDrain time.Duration) {
 	elapsed := in.Now.Sub(d.phaseSince)
 	responses := shiftedResponses(in.Report) - d.trialResponses
 	// An order that can still be completed in time does not wait beyond that.
-	canWait := in.TimeLeft < 0 || in.TimeLeft > minDrain+completionAllowance
+	canWait := in.TimeLeft < 0 || in.TimeLeft > min(max(inFlightDrain, minDrain), maxDrain)+completionAllowance
 	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift && canWait {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
@@ -380,9 +383,10 @@
 }
 
 // drainTime returns how long before the deadline the shift must begin, so that requests in
-// flight at old workers can finish in time.
-func (d *Decider) drainTime(latency time.Duration) time.Duration {
-	drain := min(max(drainFactor*latency, minDrain), maxDrain)
+// flight at old workers can finish in time, given the typical latency and how long those take that
+// are in flight at one moment.
+func (d *Decider) drainTime(typical, inFlightDrain time.Duration) time.Duration {
+	drain := min(max(drainFactor*typical, inFlightDrain, minDrain), maxDrain)
 	limit := time.Duration(maxDrainFraction * float64(d.cfg.Order.Duration))
 	return min(minShift+drain+completionAllowance, max(limit, minShift+minDrain+completionAllowance))
 }
@@ -416,6 +420,16 @@
 	return time.Duration(millis * float64(time.Millisecond)), true
 }
 
+// inFlightLatency returns the average latency of the requests in flight at one moment, of which
+// slow ones are a larger part than of those that end.
+func inFlightLatency(old map[string]rollout.Tally) time.Duration {
+	all := total(old)
+	if all.Ended < minLatencySamples || all.Millis <= 0 {
+		return 0
+	}
+	return time.Duration(all.MillisSquared / all.Millis * float64(time.Millisecond))
+}
+
 func slowThresholds(old map[string]rollout.Tally) map[string]time.Duration {
 	slow := make(map[string]time.Duration, len(old))
 	for route, t := range old {
--- a/coordination/rollout/splitter.go
+++ b/coordination/rollout/splitter.go
@@ -304,6 +304,8 @@
 func addLatency(tally *rollout.Tally, took time.Duration) {
 	millis := max(float64(took)/float64(time.Millisecond), 1)
 	tally.LogMillis += math.Log(millis)
+	tally.Millis += millis
+	tally.MillisSquared += millis * millis
 }
 
 // addTally adds to the tallies. Beyond maxTallies, new routes and workers are ignored.
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -73,7 +73,8 @@
 
 func toTally(key rollout.TallyKey, t rollout.Tally) *peerpb.RolloutTally {
 	return &peerpb.RolloutTally{
-		Route: key.Route, Worker: key.Worker, Ended: t.Ended, Failed: t.Failed, Slow: t.Slow, VerySlow: t.VerySlow, LogMillis: t.LogMillis,
+		Route: key.Route, Worker: key.Worker, Ended: t.Ended, Failed: t.Failed, Slow: t.Slow, VerySlow: t.VerySlow,
+		LogMillis: t.LogMillis, Millis: t.Millis, MillisSquared: t.MillisSquared,
 	}
 }
 
@@ -95,5 +96,8 @@
 }
 
 func fromTally(t *peerpb.RolloutTally) rollout.Tally {
-	return rollout.Tally{Ended: t.GetEnded(), Failed: t.GetFailed(), Slow: t.GetSlow(), VerySlow: t.GetVerySlow(), LogMillis: t.GetLogMillis()}
+	return rollout.Tally{
+		Ended: t.GetEnded(), Failed: t.GetFailed(), Slow: t.GetSlow(), VerySlow: t.GetVerySlow(),
+		LogMillis: t.GetLogMillis(), Millis: t.GetMillis(), MillisSquared: t.GetMillisSquared(),
+	}
 }
--- a/state/rollout/report.go
+++ b/state/rollout/report.go
@@ -14,6 +14,10 @@
 	VerySlow uint32 `json:"very_slow"`
 	// LogMillis is the sum of the logarithms of the latencies in milliseconds.
 	LogMillis float64 `json:"-"`
+	// Millis and MillisSquared are the sums of the latencies in milliseconds and of their
+	// squares.
+	Millis        float64 `json:"-"`
+	MillisSquared float64 `json:"-"`
 }
 
 // Add adds another tally.
@@ -23,6 +27,8 @@
 	t.Slow += other.Slow
 	t.VerySlow += other.VerySlow
 	t.LogMillis += other.LogMillis
+	t.Millis += other.Millis
+	t.MillisSquared += other.MillisSquared
 }
 
 // Delta returns the increase over an earlier tally. Counts drop when VMs leave and
