worker, gateway: an exit is shared for a while after the next entry

Cause: a VM stops telling of an exit once it knows the next entry, though VMs that the store serves later do not have that entry yet. TestExitIsSharedAfterNextEntry is red without RecordReplaced.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -270,6 +270,7 @@
 			return &older, nil
 		}
 		kept := g.loads.TransferSignals(previous, &w)
+		g.loads.RecordReplaced(previous)
 		g.log.Info("workers: restarted", "worker", w.ID, "start", w.Start, "start_before", previous.Start,
 			"leaving_signal_kept", kept.Leaving, "rest_kept", kept.Rest, "limit_kept", kept.RateLimit)
 		previous = nil
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -82,6 +82,11 @@
 	return !g.loads.SharedSignals()[incarnation].Leaving.Until.IsZero()
 }
 
+// SharesExit reports whether this VM tells others that an incarnation has exited.
+func (g *Gateway) SharesExit(incarnation string) bool {
+	return g.outgoingSignals()[incarnation].GetEndedMillis() > 0
+}
+
 // RecordConnectionsClosed records that an incarnation of a worker closed all connections.
 func (g *Gateway) RecordConnectionsClosed(incarnation string) {
 	g.loads.GetOrCreate(incarnation).RecordAllConnectionsClosed()
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -180,6 +180,28 @@
 	})
 }
 
+// Guards against VMs that take a cold worker for a warm one, since the VM that saw it exit knew the
+// next entry before it told them.
+func TestExitIsSharedAfterNextEntry(t *testing.T) {
+	f := newFleet(t)
+	restarting := f.startSignalWorker("w", "north-a")
+	first, second := restarting.workerEntry("north-a", 1), restarting.workerEntry("north-a", 2)
+	first.ID, second.ID = "w", "w"
+	f.store.put(kindWorkers, "w", first)
+	v := f.startVM("a", "north-a", nil)
+	f.waitFor("the VM knows the first incarnation", func() bool { return v.ready() && v.KnowsIncarnation(first.Incarnation()) })
+	v.RecordConnectionsClosed(first.Incarnation())
+	f.store.put(kindWorkers, "w", second)
+	f.waitFor("the VM knows the second incarnation", func() bool { return v.KnowsIncarnation(second.Incarnation()) })
+	if !v.SharesExit(first.Incarnation()) {
+		t.Error("the exit is not shared any more")
+	}
+	if v.SharesExit(second.Incarnation()) {
+		t.Error("the next process seems to have exited")
+	}
+	f.waitFor("the exit is forgotten", func() bool { return !v.SharesExit(first.Incarnation()) })
+}
+
 // Guards against treating a worker as warm after one VM's only connection to it broke.
 func TestOneBrokenConnectionRevealsExit(t *testing.T) {
 	const spreadWithin = time.Second
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -29,10 +29,11 @@
 // outgoingSignals returns the signals of workers that the store does not have. They are part
 // of each sync request, each reply and each probe, so that they also reach other
 // regions, VMs that start or reconnect, and all VMs while the store is unavailable. A
-// signal is dropped with the incarnation it is about.
+// signal is dropped with the incarnation it is about, but for an exit, which VMs have to know
+// that the store serves later.
 func (g *Gateway) outgoingSignals() map[string]*peerpb.WorkerSignals {
-	s, known := g.snapshot.Load(), g.loads.SharedSignals()
-	if s == nil || len(known) == 0 {
+	s, known, replaced := g.snapshot.Load(), g.loads.SharedSignals(), g.loads.ReplacedExits()
+	if s == nil || len(known)+len(replaced) == 0 {
 		return nil
 	}
 	now := clock.Now()
@@ -57,6 +58,12 @@
 			messages[incarnation] = message
 		}
 	}
+	for incarnation, exit := range replaced {
+		if len(messages) >= maxSignals {
+			break
+		}
+		messages[incarnation] = &peerpb.WorkerSignals{EndedMillis: millisSince(now, exit.At), ReturnedMillis: millisSince(now, exit.RespondedAt)}
+	}
 	return messages
 }
 
--- a/state/worker/loads.go
+++ b/state/worker/loads.go
@@ -30,6 +30,7 @@
 	shards        [shardCount]shard
 
 	constrained constrainedLoads
+	replaced    replaced
 }
 
 type shard struct {
