reach: responses between the failures of a burst do not hide it

Found in review, not seen: a response that arrives between two connections lost at one moment forgot the first one, so that the burst was not recognized. TestBurstIsVerifiedByItsWorkers/a_burst_with_responses_in_between fails before.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -278,7 +278,7 @@
 		}
 	}
 	if !burst {
-		m.burstSince, m.brokenAt = time.Time{}, [minBurst]time.Time{}
+		m.burstSince = time.Time{}
 	}
 	if len(m.unverified) == 0 {
 		m.quiet.Store(!m.Isolated())
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -374,11 +374,14 @@
 		workers int
 		// apart is the time between two failures.
 		apart time.Duration
-		then  func(m *reach.Monitor, c *manualClock) reach.Change
-		want  int
+		// responses is set if other workers respond between the failures.
+		responses bool
+		then      func(m *reach.Monitor, c *manualClock) reach.Change
+		want      int
 	}{
 		"a response after a burst":                {workers: 5, then: respond, want: waits},
 		"a burst of workers that live":            {workers: 5, then: checked(5, 0), want: void},
+		"a burst with responses in between":       {workers: 5, responses: true, then: checked(5, 0), want: void},
 		"a burst of workers, half of which ended": {workers: 6, then: checked(3, 3), want: void},
 		"a burst of workers, most of which ended": {workers: 5, then: checked(2, 3), want: sound},
 		"a response after two failures":           {workers: 2, then: respond, want: sound},
@@ -393,6 +396,9 @@
 			for i := range c.workers {
 				m.RecordBroken(fmt.Sprintf("w%d", i))
 				m.WhenVerified(func(verified bool) { verdicts = append(verdicts, verified) })
+				if c.responses {
+					m.RecordResponse(time.Time{})
+				}
 				clock.advance(c.apart)
 			}
 			if got := len(m.Burst()) == c.workers; got != (c.workers >= 3 && c.apart == 0) {
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -38,10 +38,22 @@
 	memberDue time.Time
 	// trafficWrites numbers the writes of the traffic object.
 	trafficWrites int
-	// releasesDue is when to check for releases of carried entries.
+	// releasesDue is when to check for releases of carried entries, zero while nothing is
+	// carried.
 	releasesDue time.Time
 }
 
+// releaseCheckDue reports whether to check for releases now, and sets when to do so next. The
+// first check is due some time after the first call.
+func (r *restored) releaseCheckDue(now time.Time) bool {
+	due := r.releasesDue
+	if now.Before(due) {
+		return false
+	}
+	r.releasesDue = now.Add(releaseCheckDelay + rand.N(maxReleaseCheckJitter))
+	return !due.IsZero()
+}
+
 // restoreLoop writes the fleet's own objects again that the store has lost. Each VM
 // writes its own entry; the controller writes what belongs to all. A second VM that takes
 // itself for the controller writes the same or fails on a condition.
@@ -168,13 +180,9 @@
 // released before this VM heard of either. The controller saves the others, so that this VM
 // does not carry them any longer.
 func (g *Gateway) endReleased(ctx context.Context) {
-	kind, r, now := g.cfg.Codec.QuarantineKind(), &g.restored, clock.Now()
-	carried, due := g.replica.Carried(kind), r.releasesDue
-	if now.Before(due) {
-		return
-	}
-	r.releasesDue = now.Add(releaseCheckDelay + rand.N(maxReleaseCheckJitter))
-	if due.IsZero() || len(carried) == 0 {
+	kind := g.cfg.Codec.QuarantineKind()
+	carried := g.replica.Carried(kind)
+	if !g.restored.releaseCheckDue(clock.Now()) || len(carried) == 0 {
 		return
 	}
 	changes, err := g.quarantineChanges(ctx, g.knowledge.lowestOfEra())
