--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -417,14 +417,21 @@
 				}
 				return
 			}
-			if len(verdicts) != c.workers || !m.Verified() || len(m.Burst()) > 0 {
-				t.Fatalf("%d verdicts, want %d; all verified: %v", len(verdicts), c.workers, m.Verified())
-			}
-			for _, verified := range verdicts {
-				if verified != (c.want == sound) {
-					t.Errorf("verdict %v", verified)
-				}
-			}
+			checkVerdicts(t, m, verdicts, c.workers, c.want == sound)
 		})
 	}
 }
+
+// checkVerdicts checks that a number of conclusions got the same verdict, and nothing waits for
+// one.
+func checkVerdicts(t *testing.T, m *reach.Monitor, verdicts []bool, number int, want bool) {
+	t.Helper()
+	if len(verdicts) != number || !m.Verified() || len(m.Burst()) > 0 {
+		t.Fatalf("%d verdicts, want %d; all verified: %v", len(verdicts), number, m.Verified())
+	}
+	for _, verified := range verdicts {
+		if verified != want {
+			t.Errorf("verdict %v, want %v", verified, want)
+		}
+	}
+}
