gateway: a VM that starts applies the signals of a peer's first reply

A VM that starts has none when the first reply comes, and dropped them, though it began to serve with that reply's state.

--- a/internal/gateway/compile.go
+++ b/internal/gateway/compile.go
@@ -124,7 +124,7 @@
 		HallColdUntil: maps.Clone(c.hallColdUntil), Regions: g.regions(), Traffic: c.traffic, PinnedShares: c.pinnedShares,
 		Splitters: g.rollouts.splitters(),
 	}
-	g.snapshot.Store(s)
+	g.useSnapshot(s)
 	g.compiledConfig.Store(config)
 	g.loads.Prune(s.Workers.HasIncarnation)
 	g.permits.issuer.Retain(s.Workers.HasIncarnation)
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -180,6 +180,31 @@
 	})
 }
 
+// Guards against a VM that starts without the store and takes a cold worker for a warm one until the
+// second message of a peer.
+func TestVMThatStartsWithoutStoreKnowsExits(t *testing.T) {
+	f, vms := startThreeVMs(t)
+	target := worker.Worker{ID: "w1"}
+	f.store.put(kindConfig, "main", route.Config{
+		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 5 * time.Second}},
+		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+	})
+	for _, v := range vms {
+		f.waitFor(v.name+" has the configuration", func() bool { return v.Version() == 2 })
+	}
+	f.setStoreUnavailable(true)
+	time.Sleep(2500 * time.Millisecond) // Longer than the gaps between replies of a healthy store.
+	vms[0].RecordConnectionsClosed(target.Incarnation())
+	f.waitFor("all VMs treat the worker as cold", func() bool {
+		return !slices.ContainsFunc(vms, func(v *vm) bool { return !v.IsCold(target.ID) })
+	})
+	late := f.startVM("late", "north-a", func(_ *gateway.Config, s *storeClient) { s.setFailure(true, false) })
+	f.waitFor("the VM serves", late.Ready)
+	if !late.IsCold(target.ID) {
+		t.Error("a VM begins to serve without knowing that the worker has exited")
+	}
+}
+
 // Guards against VMs that take a cold worker for a warm one, since the VM that saw it exit knew the
 // next entry before it told them.
 func TestExitIsSharedAfterNextEntry(t *testing.T) {
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/protocol/peerpb"
 	"github.com/ryehill/ryehill/state/worker"
@@ -34,16 +35,13 @@
 // ejectWorkers ejects workers for a while, including those this VM has not sent requests
 // to: otherwise each VM would have to fail a request first.
 func (g *Gateway) ejectWorkers(workers map[string]time.Duration) {
-	s := g.snapshot.Load()
-	if s == nil {
-		return
-	}
-	for id, remaining := range workers {
-		if !s.Workers.HasIncarnation(id) {
-			continue
+	g.withSnapshot(func(s *placement.Snapshot) {
+		for id, remaining := range workers {
+			if s.Workers.HasIncarnation(id) {
+				g.loads.GetOrCreate(id).Eject(remaining)
+			}
 		}
-		g.loads.GetOrCreate(id).Eject(remaining)
-	}
+	})
 }
 
 // logEjected logs the workers that this VM itself ejects. Ejections reported by other VMs
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -91,11 +91,15 @@
 
 // applySignals applies the signals of workers sent by another VM.
 func (g *Gateway) applySignals(from string, messages map[string]*peerpb.WorkerSignals) {
-	s := g.snapshot.Load()
-	if s == nil || len(messages) > maxSignals {
+	if len(messages) == 0 || len(messages) > maxSignals {
 		return
 	}
 	now := clock.Now()
+	g.withSnapshot(func(s *placement.Snapshot) { g.applySignalsTo(s, now, from, messages) })
+}
+
+// applySignalsTo applies the signals of the workers in a snapshot, received at a time.
+func (g *Gateway) applySignalsTo(s *placement.Snapshot, now time.Time, from string, messages map[string]*peerpb.WorkerSignals) {
 	for incarnation, message := range messages {
 		w, ok := s.Workers.ByIncarnation(incarnation)
 		if !ok {
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ryehill/ryehill/coordination/membership"
+	"github.com/ryehill/ryehill/coordination/placement"
 	"github.com/ryehill/ryehill/coordination/tree"
 	"github.com/ryehill/ryehill/internal/clock"
 	"github.com/ryehill/ryehill/state/spec"
@@ -235,6 +236,47 @@
 	complete time.Time
 	// alone is set if peers cannot know more than the store, or there are none.
 	alone, heard bool
+	// serving is set once there is a snapshot. Before, untilServing holds what peers have told
+	// of workers, to be applied to the first snapshot.
+	serving      bool
+	untilServing []func(*placement.Snapshot)
+}
+
+// maxUntilServing bounds the messages of peers that wait for the first snapshot.
+const maxUntilServing = 64
+
+// keepUntilServing keeps a function for the first snapshot, and reports whether it did, which it
+// does not once there is one.
+func (s *startup) keepUntilServing(apply func(*placement.Snapshot)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serving {
+		return false
+	}
+	if len(s.untilServing) < maxUntilServing {
+		s.untilServing = append(s.untilServing, apply)
+	}
+	return true
+}
+
+// withSnapshot calls a function with the snapshot in use. Before there is one, it keeps the
+// function for the first one, which is not used before it is called.
+func (g *Gateway) withSnapshot(apply func(*placement.Snapshot)) {
+	if !g.startup.keepUntilServing(apply) {
+		apply(g.snapshot.Load())
+	}
+}
+
+// useSnapshot takes a snapshot into use, the first one with what was kept for it.
+func (g *Gateway) useSnapshot(s *placement.Snapshot) {
+	first := &g.startup
+	first.mu.Lock()
+	defer first.mu.Unlock()
+	for _, apply := range first.untilServing {
+		apply(s)
+	}
+	first.serving, first.untilServing = true, nil
+	g.snapshot.Store(s)
 }
 
 // recordReply records a peer's reply.
