--- a/coordination/rollout/decider.go
+++ b/coordination/rollout/decider.go
@@ -217,8 +217,8 @@
 	if bad && d.Phase() < rollout.PhaseProved {
 		d.fire(eventRollBack, in.Now, finding.String())
 	}
-	inFlightDrain := time.Duration(inFlightDrainFactor * float64(inFlightLatency(in.Report.Old)))
-	drain := d.drainTime(latency, inFlightDrain) + min(closingRounds*in.RoundTime, maxClosingTime)
+	inFlight := inFlightDrain(in.Report.Old)
+	drain := d.drainTime(latency, inFlight) + min(closingRounds*in.RoundTime, maxClosingTime)
 	d.updatePeak(in)
 	d.growMinCanaryFraction(in, drain)
 	if d.Phase() < rollout.PhaseShift || in.Now.Sub(d.phaseSince) < latency {
@@ -236,7 +236,7 @@
 	case rollout.PhaseTrial:
 		d.checkTrial(in, drain)
 	case rollout.PhaseShift:
-		d.checkShift(in, inFlightDrain)
+		d.checkShift(in, inFlight)
 	case rollout.PhaseProved:
 		d.checkDrain(in)
 	default: // final
@@ -337,12 +337,13 @@
 	return n
 }
 
-// checkShift proves the version after enough time and responses in the shift.
-func (d *Decider) checkShift(in Inputs, inFlightDrain time.Duration) {
+// checkShift proves the version after enough time and responses in the shift, given the time
+// that requests in flight at old workers need.
+func (d *Decider) checkShift(in Inputs, inFlight time.Duration) {
 	elapsed := in.Now.Sub(d.phaseSince)
 	responses := shiftedResponses(in.Report) - d.trialResponses
 	// An order that can still be completed in time does not wait beyond that.
-	canWait := in.TimeLeft < 0 || in.TimeLeft > min(max(inFlightDrain, minDrain), maxDrain)+completionAllowance
+	canWait := in.TimeLeft < 0 || in.TimeLeft > inFlight+completionAllowance
 	if elapsed < minShift || responses < minShiftResponses && elapsed < maxShift && canWait {
 		d.reason = fmt.Sprintf("has served everything for %s, with %d answers", elapsed.Round(time.Millisecond), responses)
 		return
@@ -382,64 +383,6 @@
 	}
 }
 
-// drainTime returns how long before the deadline the shift must begin, so that requests in
-// flight at old workers can finish in time, given the typical latency and how long those take that
-// are in flight at one moment.
-func (d *Decider) drainTime(typical, inFlightDrain time.Duration) time.Duration {
-	drain := min(max(drainFactor*typical, inFlightDrain, minDrain), maxDrain)
-	limit := time.Duration(maxDrainFraction * float64(d.cfg.Order.Duration))
-	return min(minShift+drain+completionAllowance, max(limit, minShift+minDrain+completionAllowance))
-}
-
-// coldOverlap returns the average number of requests of a canary key that arrive during
-// the key's first run.
-func coldOverlap(r rollout.Report, elapsed, latency time.Duration) float64 {
-	keys := max(r.Keys.Count(), 1)
-	each := float64(total(r.NewByRoute()).Ended) / keys
-	return each * coldFactor * latency.Seconds() / max(elapsed.Seconds(), 1)
-}
-
-// maxTypicalLatency returns the typical latency of the slowest route.
-func maxTypicalLatency(old map[string]rollout.Tally) time.Duration {
-	slowest := time.Duration(0)
-	for _, t := range old {
-		if latency, ok := typicalLatency(t); ok {
-			slowest = max(slowest, latency)
-		}
-	}
-	return slowest
-}
-
-// typicalLatency returns the geometric mean of the latencies in a tally, if it has
-// minLatencySamples.
-func typicalLatency(t rollout.Tally) (time.Duration, bool) {
-	if t.Ended < minLatencySamples {
-		return 0, false
-	}
-	millis := math.Exp(t.LogMillis / float64(t.Ended))
-	return time.Duration(millis * float64(time.Millisecond)), true
-}
-
-// inFlightLatency returns the average latency of the requests in flight at one moment, of which
-// slow ones are a larger part than of those that end.
-func inFlightLatency(old map[string]rollout.Tally) time.Duration {
-	all := total(old)
-	if all.Ended < minLatencySamples || all.Millis <= 0 {
-		return 0
-	}
-	return time.Duration(all.MillisSquared / all.Millis * float64(time.Millisecond))
-}
-
-func slowThresholds(old map[string]rollout.Tally) map[string]time.Duration {
-	slow := make(map[string]time.Duration, len(old))
-	for route, t := range old {
-		if latency, ok := typicalLatency(t); ok {
-			slow[route] = time.Duration(slowFactor * float64(latency))
-		}
-	}
-	return slow
-}
-
 // String describes the finding for operators.
 func (f Finding) String() string {
 	where, what := "on all routes", "fails"
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -269,13 +269,12 @@
 
 // useSnapshot takes a snapshot into use, the first one with what was kept for it.
 func (g *Gateway) useSnapshot(s *placement.Snapshot) {
-	first := &g.startup
-	first.mu.Lock()
-	defer first.mu.Unlock()
-	for _, apply := range first.untilServing {
+	g.startup.mu.Lock()
+	defer g.startup.mu.Unlock()
+	for _, apply := range g.startup.untilServing {
 		apply(s)
 	}
-	first.serving, first.untilServing = true, nil
+	g.startup.serving, g.startup.untilServing = true, nil
 	g.snapshot.Store(s)
 }
 
