--- a/coordination/reach/check.go
+++ b/coordination/reach/check.go
@@ -172,7 +172,7 @@
 		m.needed = min(2*m.needed, maxRecoveryChecks)
 	}
 	m.isolatedSince, m.isolatedAt, m.successes = m.firstUnverified(now), now, 0
-	m.burstSince, m.brokenAt = time.Time{}, [minBurst]time.Time{}
+	m.burstSince, m.lastBroken = time.Time{}, [minBurst]brokenExchange{}
 	clear(m.unverified)
 	m.isolated.Store(true)
 	m.quiet.Store(false)
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -12,16 +12,17 @@
 // void, and its requests have to go through another VM, a proxy. An isolated VM checks
 // workers until they are reachable again.
 //
-// Open connections to several workers that fail at one moment are a burst. Either the workers
-// ended together or the path failed, possibly for so short a time that it works again by the
-// next check. A response does not verify a burst; a check of the failed workers does.
+// Open connections to several workers that fail at one moment, under exchanges that all began
+// before it, are a burst. Either the workers ended together or the path failed, possibly for so
+// short a time that it works again by the next check. A response does not verify a burst; a
+// check of the failed workers does. Tries of a request that follow each other are none.
 //
 // Without failures a Monitor costs one atomic load for each response.
 //
 // # Usage
 //
 //	monitor := reach.New(reach.Config{Now: time.Now})
-//	monitor.RecordBroken("w-1")
+//	monitor.RecordBroken("w-1", begun)
 //	for {
 //		<-monitor.Wake()
 //		/* after monitor.CheckDelay(): check workers */
@@ -82,9 +83,9 @@
 	mu sync.Mutex
 	// unverified holds the first unverified failure of each worker.
 	unverified map[string]failure
-	// brokenAt holds the times of the last failures of open connections, the newest first,
-	// and burstSince the first one of a burst that is not verified, zero if there is none.
-	brokenAt   [minBurst]time.Time
+	// lastBroken holds the last failures of open connections, the newest first, and
+	// burstSince the time of the first one of an unverified burst, zero if there is none.
+	lastBroken [minBurst]brokenExchange
 	burstSince time.Time
 	pending    []conclusion
 	lastCheck  time.Time
@@ -102,10 +103,14 @@
 	// opening is set if the connection could not be opened. Responses on connections that
 	// were opened earlier do not verify such a failure.
 	opening bool
-	// broken is set if an open connection failed first.
-	broken bool
+	// broken is set if an open connection failed first, and counted once it counts for a
+	// burst.
+	broken, counted bool
 }
 
+// brokenExchange is an exchange whose connection failed.
+type brokenExchange struct{ begun, failed time.Time }
+
 // conclusion waits until the failures up to its time are verified.
 type conclusion struct {
 	at    time.Time
@@ -184,8 +189,12 @@
 // RecordOpenFailed records that a worker could not be connected to.
 func (m *Monitor) RecordOpenFailed(worker string) { m.recordFailure(worker, true) }
 
-// RecordBroken records that an open connection to a worker failed during an exchange.
-func (m *Monitor) RecordBroken(worker string) { m.recordFailure(worker, false) }
+// RecordBroken records that an open connection to a worker failed during an exchange that began
+// at a time.
+func (m *Monitor) RecordBroken(worker string, begun time.Time) {
+	m.recordFailure(worker, false)
+	m.recordBurst(worker, begun)
+}
 
 // RecordUnanswered records that a worker did not answer on a connection that seemed sound.
 func (m *Monitor) RecordUnanswered(worker string) { m.recordFailure(worker, false) }
@@ -204,22 +213,34 @@
 	if !known {
 		f.at, f.broken = m.cfg.Now(), !opening
 	}
-	if !known && f.broken {
-		m.recordBroken(f.at)
-	}
 	f.opening = f.opening || opening
 	m.unverified[worker] = f
 	m.notify()
 }
 
-// recordBroken records the first failure of an open connection to a worker. mu is held.
-func (m *Monitor) recordBroken(at time.Time) {
-	copy(m.brokenAt[1:], m.brokenAt[:])
-	m.brokenAt[0] = at
-	first := m.brokenAt[minBurst-1]
-	if m.burstSince.IsZero() && !first.IsZero() && at.Sub(first) <= burstWindow {
-		m.burstSince = first
+// recordBurst records when a failed exchange began, and whether it completes a burst. Each
+// worker counts with its first unverified failure.
+func (m *Monitor) recordBurst(worker string, begun time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f, unverified := m.unverified[worker]
+	if !unverified || !f.broken || f.counted {
+		return
+	}
+	f.counted = true
+	m.unverified[worker] = f
+	copy(m.lastBroken[1:], m.lastBroken[:])
+	m.lastBroken[0] = brokenExchange{begun: begun, failed: f.at}
+	first := m.lastBroken[minBurst-1].failed
+	if !m.burstSince.IsZero() || first.IsZero() || f.at.Sub(first) > burstWindow {
+		return
+	}
+	for _, b := range m.lastBroken {
+		if b.begun.After(first) {
+			return
+		}
 	}
+	m.burstSince = first
 }
 
 // inBurst reports whether a failure belongs to the unverified burst. mu is held.
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -62,10 +62,10 @@
 }
 
 // Broken implements upstream.Observer.
-func (c *connections) Broken(w upstream.Worker, err error) {
+func (c *connections) Broken(w upstream.Worker, begun time.Time, err error) {
 	c.count(resultBroken + upstream.ConnectionResult(err))
 	c.mark(c.failed, w)
-	c.reach.RecordBroken(w.ID)
+	c.reach.RecordBroken(w.ID, begun)
 }
 
 // Unanswered implements upstream.Observer.
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -139,7 +139,7 @@
 	switch {
 	case x.bodyErr != nil:
 	case ctx.Err() == nil && isConnectionFailure(err):
-		x.client.cfg.Observer.Broken(x.worker, err)
+		x.client.cfg.Observer.Broken(x.worker, x.begunAt, err)
 	case ctx.Err() != nil && x.client.cfg.Now().Sub(x.begunAt) >= unansweredAfter:
 		x.client.cfg.Observer.Unanswered(x.worker)
 	}
@@ -367,7 +367,7 @@
 		b.complete = true
 	case err != nil:
 		if isConnectionFailure(err) || errors.Is(err, io.ErrUnexpectedEOF) {
-			b.exchange.client.cfg.Observer.Broken(b.exchange.worker, err)
+			b.exchange.client.cfg.Observer.Broken(b.exchange.worker, b.exchange.begunAt, err)
 		}
 		err = &Error{kind: KindBroken, step: "read body", worker: b.exchange.worker.ID, cause: err}
 	}
--- a/transport/upstream/observer.go
+++ b/transport/upstream/observer.go
@@ -23,9 +23,9 @@
 	OpenFailed(w Worker, err error)
 	// Responded reports a response header on a connection that was opened at a time.
 	Responded(w Worker, opened time.Time)
-	// Broken reports that a connection failed before the response header, though neither
-	// the caller nor this client had closed it.
-	Broken(w Worker, err error)
+	// Broken reports that a connection failed under an exchange that began at a time, though
+	// neither the caller nor this client had closed it.
+	Broken(w Worker, begun time.Time, err error)
 	// Unanswered reports that an exchange was canceled or timed out after the worker had
 	// not answered for a while, on a connection that seemed sound.
 	Unanswered(w Worker)
@@ -34,11 +34,11 @@
 // noObserver is the default Observer of a Client.
 type noObserver struct{}
 
-func (noObserver) Opened(Worker)               {}
-func (noObserver) OpenFailed(Worker, error)    {}
-func (noObserver) Responded(Worker, time.Time) {}
-func (noObserver) Broken(Worker, error)        {}
-func (noObserver) Unanswered(Worker)           {}
+func (noObserver) Opened(Worker)                   {}
+func (noObserver) OpenFailed(Worker, error)        {}
+func (noObserver) Responded(Worker, time.Time)     {}
+func (noObserver) Broken(Worker, time.Time, error) {}
+func (noObserver) Unanswered(Worker)               {}
 
 // Results of connections, as shown in metrics.
 const (
