gateway: whether an entry was released is judged by its own changes

The names are compared before the check again. No fault for callers: the store's changes bear their names.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -93,7 +93,7 @@
 		return errors.Wrap(err, "quarantine: save entry")
 	}
 	changes, err := g.quarantineChanges(ctx, since)
-	if err != nil || !wasReleased(changes, e, carried) {
+	if err != nil || !wasReleased(changesOf(changes, e.Fingerprint), e, carried) {
 		return err
 	}
 	g.log.Info("quarantine: released before this VM saved it", "fingerprint", e.Fingerprint.String())
@@ -127,15 +127,24 @@
 	return changes, nil
 }
 
-// wasReleased reports whether an entry is the one that was removed: it, or another one of the
-// same term, had been saved before. The removal of an earlier entry says
-// nothing of a request that ends workers again. changes may contain those of other entries.
-func wasReleased(changes []object.Event, e quarantine.Entry, saved bool) bool {
-	removed, name := false, e.Fingerprint.String()
+// changesOf returns the changes of the entry of a request.
+func changesOf(changes []object.Event, f quarantine.Fingerprint) []object.Event {
+	name := f.String()
+	var own []object.Event
 	for _, c := range changes {
-		if c.Name != name {
-			continue
+		if c.Name == name {
+			own = append(own, c)
 		}
+	}
+	return own
+}
+
+// wasReleased reports whether an entry is the one that was removed, given the changes of its
+// request: it, or another one of the same term, had been saved before. The removal of an earlier
+// entry says nothing of a request that ends workers again.
+func wasReleased(changes []object.Event, e quarantine.Entry, saved bool) bool {
+	removed := false
+	for _, c := range changes {
 		if c.Deleted {
 			removed = removed || saved
 			continue
--- a/internal/gateway/restore.go
+++ b/internal/gateway/restore.go
@@ -192,7 +192,7 @@
 	}
 	for _, c := range carried {
 		e, err := quarantine.Decode(c.Spec)
-		if c.Deleted || err != nil || !wasReleased(changes, e, true) {
+		if c.Deleted || err != nil || !wasReleased(changesOf(changes, e.Fingerprint), e, true) {
 			continue // An entry that cannot be decoded is not in use.
 		}
 		g.replica.EndCarried(kind, c.Name)
