--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -155,9 +155,9 @@
 	return highest
 }
 
-// Guards against VMs treating a worker as warm that another VM saw terminate.
-func TestVMsShareSuspectedExits(t *testing.T) {
-	const spreadWithin = 1500 * time.Millisecond
+// startThreeVMsWithExit starts three VMs, of which the first has seen a worker exit while the store
+// is unavailable.
+func startThreeVMsWithExit(t *testing.T) (*fleet, []*vm, worker.Worker) {
 	f, vms := startThreeVMs(t)
 	target := worker.Worker{ID: "w1"}
 	f.store.put(kindConfig, "main", route.Config{
@@ -170,6 +170,13 @@
 	f.setStoreUnavailable(true)
 	time.Sleep(2500 * time.Millisecond) // Longer than the gaps between replies of a healthy store.
 	vms[0].RecordConnectionsClosed(target.Incarnation())
+	return f, vms, target
+}
+
+// Guards against VMs treating a worker as warm that another VM saw terminate.
+func TestVMsShareSuspectedExits(t *testing.T) {
+	const spreadWithin = 1500 * time.Millisecond
+	f, vms, target := startThreeVMsWithExit(t)
 	f.waitWithin(spreadWithin, "all VMs treat the worker as cold", func() bool {
 		for _, v := range vms {
 			if !v.IsCold(target.ID) {
@@ -183,18 +190,7 @@
 // Guards against a VM that starts without the store and takes a cold worker for a warm one until the
 // second message of a peer.
 func TestVMThatStartsWithoutStoreKnowsExits(t *testing.T) {
-	f, vms := startThreeVMs(t)
-	target := worker.Worker{ID: "w1"}
-	f.store.put(kindConfig, "main", route.Config{
-		Version: 2, Services: []route.Service{{Name: "s", ColdRate: 11, ColdStart: 5 * time.Second}},
-		Routes: []route.Route{{Name: "r", Host: "h", Prefix: "/", Timeout: 5 * time.Second, Targets: []route.Target{{Service: "s", Weight: 1}}}},
-	})
-	for _, v := range vms {
-		f.waitFor(v.name+" has the configuration", func() bool { return v.Version() == 2 })
-	}
-	f.setStoreUnavailable(true)
-	time.Sleep(2500 * time.Millisecond) // Longer than the gaps between replies of a healthy store.
-	vms[0].RecordConnectionsClosed(target.Incarnation())
+	f, vms, target := startThreeVMsWithExit(t)
 	f.waitFor("all VMs treat the worker as cold", func() bool {
 		return !slices.ContainsFunc(vms, func(v *vm) bool { return !v.IsCold(target.ID) })
 	})
