upstream: an unread upload is not taken for a silent worker

Callers whose upload went to a worker that leaves the body unread for over 0.9 s got 502 after 1.4 s, though the worker was at work on it. Of equal bodies of 5 MB the request was quarantined at all VMs after a while.

Cause: TCP_USER_TIMEOUT also bounds how long a receive window may stay closed, though the peer acknowledges all probes. And the kernel reports a socket's error once: where the writer of the body got it, the reader saw the end of the stream, which counted as the worker's hang-up, its exit, and evidence against the request.

Where the kernel counts segments, TCP_INFO decides now: data in flight or two window probes without any acknowledgment for 0.9 s end an exchange; a closed window does not. Elsewhere the option stays. The cause of a failed exchange is the writer's error, unless that itself says that the peer closed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,9 +53,9 @@
 	// workerDialTimeout bounds the opening of a connection to a worker. Two round
 	// trips between regions take up to half of it.
 	workerDialTimeout = 400 * time.Millisecond
-	// workerAckTimeout is how long sent data may stay unacknowledged by the worker's
-	// machine before the connection is closed. It tolerates two lost packets on the
-	// longest path.
+	// workerAckTimeout is how long a worker's machine may acknowledge nothing of what was
+	// sent before the connection is closed. It tolerates two lost packets on the longest
+	// path.
 	workerAckTimeout = 900 * time.Millisecond
 	// workerIdleTimeout is how long an unused connection to a worker stays open.
 	workerIdleTimeout = 8 * time.Second
@@ -159,7 +159,7 @@
 	}})
 	g.connections = newConnections(cfg.Metrics, g.isolation.monitor)
 	g.upstreams = upstream.New(upstream.Config{
-		DialTimeout: workerDialTimeout, IdleTimeout: workerIdleTimeout, AtMostOnceMaxIdle: nonIdempotentIdleTimeout, TCPUserTimeout: workerAckTimeout, Dialect: cfg.Dialect, Now: clock.Now,
+		DialTimeout: workerDialTimeout, IdleTimeout: workerIdleTimeout, AtMostOnceMaxIdle: nonIdempotentIdleTimeout, AckTimeout: workerAckTimeout, Dialect: cfg.Dialect, Now: clock.Now,
 		MaxOpen: connectionLimit(cfg.Descriptors), Dial: cfg.WorkerDial, Observer: g.connections,
 	})
 	g.peers = peer.New(peer.Config{Self: g.self, Handler: g.handlePeer, Log: g.log, Allow: g.allowPeer, Dial: cfg.Dial})
--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -159,10 +159,11 @@
 	AtMostOnceMaxIdle time.Duration
 	// DialTimeout limits the time to establish a connection. Default 2 s.
 	DialTimeout time.Duration
-	// TCPUserTimeout is how long sent data may stay unacknowledged at TCP level
-	// before the connection is closed, for example because the remote machine
-	// is gone. Default 0: the limit of the operating system, which is minutes.
-	TCPUserTimeout time.Duration
+	// AckTimeout is how long the remote machine may leave sent data and window probes
+	// unacknowledged at TCP level before the connection is closed, because the machine or
+	// the path to it is gone. A peer that keeps its receive window closed is not cut off.
+	// Default 0: the limit of the operating system, which is minutes.
+	AckTimeout time.Duration
 	// Now returns the time by which idle connections expire. It should include
 	// the time that the machine was suspended. Default time.Now.
 	Now func() time.Time
@@ -223,6 +224,10 @@
 	maxIdleConns           = 32
 )
 
+// keepAlive ends a connection whose peer is gone while nothing is sent, as when a response
+// takes long.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 15 * time.Second, Interval: time.Second, Count: 3}
+
 // Client sends requests to upstreams over pooled connections. It is safe for
 // concurrent use.
 type Client struct {
@@ -239,7 +244,7 @@
 		cfg.DialTimeout = defaultDialTimeout
 	}
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: cfg.DialTimeout, Control: userTimeoutControl(cfg.TCPUserTimeout)}
+		d := &net.Dialer{Timeout: cfg.DialTimeout, Control: userTimeoutControl(cfg.AckTimeout), KeepAliveConfig: keepAlive}
 		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		}
@@ -344,6 +349,9 @@
 	}
 	c.cfg.Observer.Opened(w)
 	created := newConn(raw, p, c.cfg.IdleTimeout)
+	if c.cfg.AckTimeout > 0 {
+		created.transmission = watchTransmission(raw)
+	}
 	created.processStart, created.opened = w.Start, c.cfg.Now()
 	return created, nil
 }
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -31,6 +31,9 @@
 	// less by the upstream's Keep-Alive header.
 	idleTimeout time.Duration
 	closeOnce   sync.Once
+	// transmission describes what was sent, or is nil where the operating system ends the
+	// connection to a silent peer, or nobody does.
+	transmission func() (transmission, error)
 
 	// watchDone is closed when the goroutine that watches the idle connection
 	// ends; unusable is valid from then on.
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -85,6 +85,7 @@
 	bodyErr       error
 	stopped       atomic.Bool
 	detachContext func() bool
+	silence       *silenceWatch // nil if there is none
 }
 
 // Do sends a request and returns the response once its header has been read.
@@ -97,6 +98,7 @@
 	}
 	x := &exchange{client: c, conn: conn, worker: w, req: req, begunAt: c.cfg.Now(), sendDone: make(chan struct{})}
 	x.detachContext = context.AfterFunc(ctx, conn.abort)
+	x.startSilenceWatch()
 	go x.send()
 	res, err := x.readHead() //nolint:bodyclose // Response.Close ends the exchange with its connection.
 	if err != nil {
@@ -115,6 +117,7 @@
 	x.conn.abort()
 	x.release(false)
 	<-x.sendDone
+	err = x.failureCause(err)
 	e := &Error{kind: KindBroken, reconnected: x.conn.reconnected, notRun: !x.writeStarted.Load(), step: "read head", worker: x.worker.ID, cause: err}
 	switch {
 	case x.bodyErr != nil:
@@ -151,9 +154,33 @@
 	return errors.Is(err, errClosed) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// failureCause returns why the connection failed, given the error of a read. An error of a
+// socket is reported once: if a write got it, a read sees the end of the stream, as if the
+// upstream had closed the connection.
+func (x *exchange) failureCause(readErr error) error {
+	switch {
+	case x.silence.found():
+		return errPeerSilent
+	case x.sendEnded() && isConnectionFailure(x.sendErr) && !isPeerClosed(x.sendErr):
+		return x.sendErr
+	}
+	return readErr
+}
+
+// sendEnded reports whether send has returned.
+func (x *exchange) sendEnded() bool {
+	select {
+	case <-x.sendDone:
+		return true
+	default:
+		return false
+	}
+}
+
 func (x *exchange) release(reuse bool) {
 	x.stopped.Store(true)
-	if x.detachContext() && reuse {
+	x.silence.stop()
+	if x.detachContext() && reuse && !x.silence.found() {
 		x.conn.pool.putIdle(x.conn, x.client.cfg.Now())
 		return
 	}
@@ -366,6 +393,7 @@
 	case errors.Is(err, io.EOF):
 		b.complete = true
 	case err != nil:
+		err = b.exchange.failureCause(err)
 		if isConnectionFailure(err) || errors.Is(err, io.ErrUnexpectedEOF) {
 			b.exchange.client.cfg.Observer.Broken(b.exchange.worker, b.exchange.begunAt, err)
 		}
