upstream: the header of a response is bounded

Callers lost all requests at work in a VM whose process was ended for want of memory: a faulty worker that sends bytes without an end of line filled it at the rate of its link.

Cause: http.ReadResponse reads a status line and header fields without a bound, until the deadline. The reader of a connection now fails after 256 KiB within one header, informational responses included.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -150,6 +150,9 @@
 	// MaxOpen bounds the open connections to all upstreams together. At the bound the
 	// least recently used idle one is closed. 0 means no limit.
 	MaxOpen int
+	// MaxHeaderBytes bounds the response header of an upstream in bytes, together with the
+	// informational responses before it. Default 256 KiB.
+	MaxHeaderBytes int
 	// IdleTimeout is how long an idle connection is kept. Default 30 s. A shorter
 	// Keep-Alive timeout of the upstream takes precedence.
 	IdleTimeout time.Duration
@@ -221,6 +224,7 @@
 	defaultProgressTimeout = 30 * time.Second
 	defaultIdleTimeout     = 30 * time.Second
 	defaultDialTimeout     = 2 * time.Second
+	defaultMaxHeaderBytes  = 256 << 10
 	maxIdleConns           = 32
 )
 
@@ -255,6 +259,9 @@
 	if cfg.IdleTimeout <= 0 {
 		cfg.IdleTimeout = defaultIdleTimeout
 	}
+	if cfg.MaxHeaderBytes <= 0 {
+		cfg.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -18,8 +18,10 @@
 // conn is one connection to an upstream.
 type conn struct {
 	// opened is the time when the connection was established.
-	opened       time.Time
-	raw          net.Conn
+	opened time.Time
+	raw    net.Conn
+	// received bounds what reader takes from raw.
+	received     *boundedReader
 	reader       *bufio.Reader
 	pool         *pool
 	idleSince    time.Time // when the last exchange on it ended
@@ -42,7 +44,8 @@
 }
 
 func newConn(raw net.Conn, p *pool, idleTimeout time.Duration) *conn {
-	return &conn{raw: raw, reader: bufio.NewReader(raw), pool: p, idleTimeout: idleTimeout}
+	received := &boundedReader{source: raw, left: unbounded}
+	return &conn{raw: raw, received: received, reader: bufio.NewReader(received), pool: p, idleTimeout: idleTimeout}
 }
 
 // applyKeepAlive lowers the idle timeout to that of the upstream's Keep-Alive
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -213,6 +213,9 @@
 // up to a limit, late responses to earlier requests on the connection.
 func (x *exchange) readHead() (*http.Response, error) {
 	stale := 0
+	received := x.conn.received
+	received.left = x.client.cfg.MaxHeaderBytes
+	defer func() { received.left = unbounded }()
 	for {
 		res, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.req.Method})
 		if err != nil {
@@ -228,9 +231,11 @@
 			return res, nil
 		}
 		stale++
+		received.left = unbounded // discardResponse has its own bound.
 		if stale > maxStaleResponses || discardResponse(res) != nil {
 			return nil, errWrongRequest
 		}
+		received.left = x.client.cfg.MaxHeaderBytes
 	}
 }
 
