pipeline: a large response is whole before it is sent with others behind it

Callers that send ahead lost requests that had run at sound workers, where a response of over 256 KB before them was cut off by its worker: it had been sent in part, so the connection had to be closed.

While requests behind it have begun, such a response is collected, up to 8 MiB, 16 MiB of a VM by dynamic thresholds; cut off meanwhile, it is sent again or answered with 502. Nothing begins behind one that is sent as it comes.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -142,6 +142,9 @@
 	// MaxHeld and MaxHeldTotal bound the bytes of responses that wait for their turn, of
 	// one connection and of all.
 	MaxHeld, MaxHeldTotal int
+	// MaxCollectedTotal bounds the bytes of all responses that are kept until they are whole,
+	// since requests behind them have begun.
+	MaxCollectedTotal int
 	// ReadAhead bounds the bytes that are read of a connection beyond the next request.
 	ReadAhead int
 	// StallTimeout is the time after which a connection is closed whose client accepts no
@@ -290,7 +293,7 @@
 func (p *Pipeline) check(add func(field, want string)) {
 	for field, value := range map[string]int{
 		"pipeline-depth": p.MaxDepth, "pipeline-behind": p.MaxBehind, "pipeline-held": p.MaxHeld,
-		"pipeline-held-total": p.MaxHeldTotal, "pipeline-read-ahead": p.ReadAhead,
+		"pipeline-held-total": p.MaxHeldTotal, "pipeline-collected-total": p.MaxCollectedTotal, "pipeline-read-ahead": p.ReadAhead,
 	} {
 		if value < 0 {
 			add(field, "want 0 or more")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -273,7 +273,7 @@
 	p := g.cfg.Pipeline
 	return pipeline.New(pipeline.Config{
 		Handler: g.ingress, Concurrent: g.ingress.Concurrent, Metrics: g.cfg.Metrics, Log: g.log,
-		MaxDepth: p.MaxDepth, MaxBehind: p.MaxBehind, MaxHeld: p.MaxHeld, MaxHeldTotal: p.MaxHeldTotal, ReadAhead: p.ReadAhead, StallTimeout: p.StallTimeout,
+		MaxDepth: p.MaxDepth, MaxBehind: p.MaxBehind, MaxHeld: p.MaxHeld, MaxHeldTotal: p.MaxHeldTotal, MaxCollectedTotal: p.MaxCollectedTotal, ReadAhead: p.ReadAhead, StallTimeout: p.StallTimeout,
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		MaxConnections: connectionLimit(g.cfg.Descriptors),
 	})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -49,6 +49,7 @@
 		number("pipeline-depth", "requests of a connection that run at a time, if its client sends them ahead; 1 runs one after the other", pipeline.DefaultMaxDepth),
 		number("pipeline-behind", "requests of all connections that run behind another one", pipeline.DefaultMaxBehind),
 		number("pipeline-held", "bytes of a connection's answers that wait for earlier ones", pipeline.DefaultMaxHeld),
+		number("pipeline-collected-total", "bytes of all answers that are kept until they are whole, since requests behind them run", pipeline.DefaultMaxCollectedTotal),
 		number("pipeline-held-total", "bytes of all connections' answers that wait for earlier ones", pipeline.DefaultMaxHeldTotal),
 		number("pipeline-read-ahead", "bytes that are read of a connection beyond its next request", pipeline.DefaultReadAhead),
 		duration("pipeline-stall", "time after which a connection is closed whose client accepts nothing", pipeline.DefaultStallTimeout),
@@ -79,7 +80,7 @@
 		},
 		Pipeline: gateway.Pipeline{
 			MaxDepth: c.Int("pipeline-depth"), MaxBehind: c.Int("pipeline-behind"),
-			MaxHeld: c.Int("pipeline-held"), MaxHeldTotal: c.Int("pipeline-held-total"),
+			MaxHeld: c.Int("pipeline-held"), MaxHeldTotal: c.Int("pipeline-held-total"), MaxCollectedTotal: c.Int("pipeline-collected-total"),
 			ReadAhead: c.Int("pipeline-read-ahead"), StallTimeout: c.Duration("pipeline-stall"),
 		},
 		ProbeInterval: c.Duration("probe-interval"),
--- a/transport/ingress/pipelined_test.go
+++ b/transport/ingress/pipelined_test.go
@@ -37,16 +37,24 @@
 
 func newAheadFixture(t *testing.T) *aheadFixture {
 	t.Helper()
-	f := &aheadFixture{waits: make(map[string]int)}
-	f.fixture = newFixture(t, 3, func(_ int, w http.ResponseWriter, r *http.Request) {
-		f.mu.Lock()
-		f.waits[r.Header.Get("Id")], _ = strconv.Atoi(r.Header.Get("Wait"))
-		f.mu.Unlock()
+	return newAheadFixtureWith(t, func(_ int, w http.ResponseWriter, r *http.Request) {
 		if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
 			time.Sleep(work)
 		}
 		_, _ = io.WriteString(w, r.Header.Get("Id"))
 	})
+}
+
+// newAheadFixtureWith starts a VM whose workers use a handler function; see newFixture.
+func newAheadFixtureWith(t *testing.T, handle func(n int, w http.ResponseWriter, r *http.Request)) *aheadFixture {
+	t.Helper()
+	f := &aheadFixture{waits: make(map[string]int)}
+	f.fixture = newFixture(t, 3, func(n int, w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		f.waits[r.Header.Get("Id")], _ = strconv.Atoi(r.Header.Get("Wait"))
+		f.mu.Unlock()
+		handle(n, w, r)
+	})
 	target := []route.Target{{Service: "s", Weight: 1}}
 	f.snapshot.Routes = route.NewTable(route.Config{
 		Version: 1, Services: []route.Service{{Name: "s"}},
@@ -252,3 +260,51 @@
 		f.setSnapshot(snapshot)
 	}
 }
+
+// Guards against losing the responses behind a large one that its worker cuts off: they have
+// run, and the connection of the client had to be closed.
+func TestLargeResponseThatIsCutOffLosesNone(t *testing.T) {
+	const size, behind = 400_000, 5
+	cases := map[string]struct {
+		// cuts is how many times the large response is cut off.
+		cuts, status int
+		sized        bool
+	}{
+		"once":                 {1, http.StatusOK, true},
+		"once, unknown length": {1, http.StatusOK, false},
+		"always":               {10, http.StatusBadGateway, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newAheadFixtureWith(t, func(n int, w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/read/large" {
+					_, _ = io.WriteString(w, r.Header.Get("Id"))
+					return
+				}
+				time.Sleep(20 * time.Millisecond) // Until the requests behind it have begun.
+				if c.sized {
+					w.Header().Set("Content-Length", strconv.Itoa(size))
+				}
+				_, _ = w.Write(make([]byte, size*3/4))
+				if n < c.cuts {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = w.Write(make([]byte, size-size*3/4))
+			})
+			targets := []string{"/read/large"}
+			for i := range behind {
+				targets = append(targets, "/read/"+strconv.Itoa(i))
+			}
+			statuses, bodies := f.sendAhead(t, targets...)
+			if statuses[0] != c.status || c.status == http.StatusOK && len(bodies[0]) != size {
+				t.Errorf("the large request got %d with %d bytes", statuses[0], len(bodies[0]))
+			}
+			for i := 1; i <= behind; i++ {
+				if statuses[i] != http.StatusOK || bodies[i] != strconv.Itoa(i+1) {
+					t.Errorf("request %d got %d, %q", i+1, statuses[i], bodies[i])
+				}
+			}
+		})
+	}
+}
--- a/transport/ingress/response.go
+++ b/transport/ingress/response.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ryehill/ryehill/coordination/retry"
+	"github.com/ryehill/ryehill/transport/pipeline"
 	"github.com/ryehill/ryehill/transport/upstream"
 )
 
@@ -40,6 +41,10 @@
 	// maxBufferedResponse is how many bytes of a response body are buffered before
 	// the header is sent to the client. Up to then a failed attempt can be retried.
 	maxBufferedResponse = 256 << 10
+	// maxCollectedResponse is how many bytes of a response body are collected at most while
+	// requests behind it on its connection run, and collectStep how many are asked for at a
+	// time if its length is unknown.
+	maxCollectedResponse, collectStep = 8 << 20, 64 << 10
 	// minRetryAfter and retryAfterJitter determine the Retry-After of a refused
 	// request unless a worker has room only later. The jitter
 	// spreads the retries of clients that were refused at the same time.
@@ -50,11 +55,11 @@
 // forwardResponse copies a response to the client.
 func (q *request) forwardResponse(res *upstream.Response) error {
 	var buffered bytes.Buffer
-	n, err := io.Copy(&buffered, io.LimitReader(res.Body(), maxBufferedResponse))
+	complete, err := q.bufferResponse(&buffered, res)
 	if err != nil {
 		return err
 	}
-	complete := n < maxBufferedResponse
+	n := int64(buffered.Len())
 	header := q.writer.Header()
 	for name, values := range res.Header() {
 		header[name] = values
@@ -92,6 +97,29 @@
 	return nil
 }
 
+// bufferResponse reads the start of a response, and the whole of it if the connection of the
+// client must not be closed by a response that breaks off. It reports whether the whole was read.
+func (q *request) bufferResponse(buffered *bytes.Buffer, res *upstream.Response) (complete bool, err error) {
+	n, err := io.Copy(buffered, io.LimitReader(res.Body(), maxBufferedResponse))
+	if err != nil || n < maxBufferedResponse {
+		return true, err
+	}
+	for {
+		step := max(res.Length()-int64(buffered.Len()), 0)
+		if res.Length() < 0 {
+			step = collectStep
+		}
+		if step > maxCollectedResponse || !pipeline.Collect(q.req.Context(), buffered.Len()+int(step)) {
+			return false, nil
+		}
+		// One byte more than the rest: a body ends with io.EOF only if it is complete.
+		n, err := io.Copy(buffered, io.LimitReader(res.Body(), step+1))
+		if err != nil || n <= step {
+			return true, err
+		}
+	}
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/transport/pipeline/conn.go
+++ b/transport/pipeline/conn.go
@@ -95,8 +95,9 @@
 	broken bool
 	// lingers is set if the client may still send while the last response is on its way.
 	lingers bool
-	// held is the number of bytes of the responses that wait for their turn.
-	held int
+	// held is the number of bytes of the responses that wait for their turn, and collected of
+	// those that are kept until they are whole.
+	held, collected int
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
--- a/transport/pipeline/queue.go
+++ b/transport/pipeline/queue.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 		return true
 	case !r.concurrent || !c.queue[0].concurrent || n >= c.server.cfg.MaxDepth:
 		return false
+	case slices.ContainsFunc(c.queue, func(other *response) bool { return other.streams }):
+		return false
 	}
 	r.countsBehind = c.server.behind.take(n-1, 1)
 	return r.countsBehind
@@ -79,6 +82,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.ready = completed
+	if r.streams {
+		r.streams = false
+		if c.phase == phaseTurn && !c.ended {
+			c.interruptRead()
+		}
+	}
 	if c.queue[0] == r {
 		return time.Time{}
 	}
@@ -130,6 +139,8 @@
 		c.server.behind.release(1)
 	}
 	c.releaseHeld(r)
+	c.collected -= r.collectedBytes
+	c.server.collected.release(r.collectedBytes)
 	c.popped.Broadcast()
 	if len(c.queue) == 0 {
 		c.restsSince = time.Now()
@@ -163,6 +174,21 @@
 	c.server.cfg.Metrics.HeldBytes(c.server.held.inUse())
 }
 
+// collect accounts for the bytes of a response that is kept until it is whole, total of them so
+// far, if requests behind it have begun and the limit allows it.
+func (c *conn) collect(r *response, total int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	more := max(total-r.collectedBytes, 0)
+	if c.queue[len(c.queue)-1] == r || !c.server.collected.take(c.collected, more) {
+		r.streams = true
+		return false
+	}
+	c.collected += more
+	r.collectedBytes += more
+	return true
+}
+
 // closesWith reports whether a response, whose turn has come, is the last one of the
 // connection. If closes is set, nothing further is read.
 func (c *conn) closesWith(closes bool) bool {
--- a/transport/pipeline/response.go
+++ b/transport/pipeline/response.go
@@ -60,8 +60,11 @@
 	// countsBehind is set if the request has a unit of the limit of requests behind others.
 	// It is guarded by conn.mu.
 	countsBehind bool
-	// heldBytes is what conn.hold has granted. It is guarded by conn.mu.
-	heldBytes int
+	// heldBytes is what conn.hold has granted, and collectedBytes what conn.collect has. They
+	// are guarded by conn.mu.
+	heldBytes, collectedBytes int
+	// streams is set while the response may be sent before it is whole. It is guarded by conn.mu.
+	streams bool
 
 	header http.Header
 	status int
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -16,6 +16,12 @@
 // behind another one, and the bytes that are held, share a limit by dynamic thresholds: a
 // connection may use as much as is still free, so that none takes the room of the others.
 //
+// A response that breaks off closes the connection, and with it the responses to all requests
+// behind it are lost. A handler that sends a response before it has the whole of it should
+// therefore ask Collect first: it keeps the response until it is whole if requests behind it
+// have begun, as far as a shared limit allows it, and none begins behind one that is sent as it
+// comes.
+//
 // If a client closes its connection, or the sending half of it, the contexts of its
 // requests are canceled, and none of those that have not begun begins.
 //
@@ -48,15 +54,16 @@
 
 // Defaults of the fields of Config.
 const (
-	DefaultMaxDepth       = 16
-	DefaultMaxBehind      = 1024
-	DefaultMaxHeld        = 64 << 10
-	DefaultMaxHeldTotal   = 8 << 20
-	DefaultReadAhead      = 16 << 10
-	DefaultMaxHeaderBytes = 64 << 10
-	DefaultHeaderTimeout  = 10 * time.Second
-	DefaultIdleTimeout    = 2 * time.Minute
-	DefaultStallTimeout   = 30 * time.Second
+	DefaultMaxDepth          = 16
+	DefaultMaxBehind         = 1024
+	DefaultMaxHeld           = 64 << 10
+	DefaultMaxHeldTotal      = 8 << 20
+	DefaultMaxCollectedTotal = 16 << 20
+	DefaultReadAhead         = 16 << 10
+	DefaultMaxHeaderBytes    = 64 << 10
+	DefaultHeaderTimeout     = 10 * time.Second
+	DefaultIdleTimeout       = 2 * time.Minute
+	DefaultStallTimeout      = 30 * time.Second
 )
 
 // Config configures a Server. Handler is required. A field that is 0 has its default.
@@ -74,6 +81,8 @@
 	// MaxHeld bounds the bytes of the response bodies of a connection that wait for their
 	// turn, and MaxHeldTotal those of all connections.
 	MaxHeld, MaxHeldTotal int
+	// MaxCollectedTotal bounds the bytes that Collect grants to all connections.
+	MaxCollectedTotal int
 	// ReadAhead bounds the bytes that are read of a connection beyond the next request.
 	ReadAhead int
 	// MaxConnections bounds the open connections. At the bound the one that has been
@@ -111,9 +120,9 @@
 // Server serves connections. It is safe for concurrent use.
 type Server struct {
 	cfg Config
-	// behind and held are what the connections share.
-	behind, held *sharedLimit
-	workers      *workers
+	// behind, held and collected are what the connections share.
+	behind, held, collected *sharedLimit
+	workers                 *workers
 
 	mu        sync.Mutex
 	stopping  bool
@@ -133,7 +142,8 @@
 	for name, value := range map[string]int64{
 		"most requests of a connection": int64(cfg.MaxDepth), "most requests behind others": int64(cfg.MaxBehind),
 		"most held bytes": int64(cfg.MaxHeld), "most held bytes of all connections": int64(cfg.MaxHeldTotal),
-		"bytes read ahead": int64(cfg.ReadAhead), "most connections": int64(cfg.MaxConnections),
+		"most collected bytes": int64(cfg.MaxCollectedTotal),
+		"bytes read ahead":     int64(cfg.ReadAhead), "most connections": int64(cfg.MaxConnections),
 		"most header bytes": int64(cfg.MaxHeaderBytes),
 		"header timeout":    int64(cfg.HeaderTimeout), "idle timeout": int64(cfg.IdleTimeout), "stall timeout": int64(cfg.StallTimeout),
 	} {
@@ -143,8 +153,8 @@
 	}
 	cfg.setDefaults()
 	s := &Server{
-		cfg: cfg, behind: newSharedLimit(cfg.MaxBehind), held: newSharedLimit(cfg.MaxHeldTotal), workers: newWorkers(),
-		listeners: make(map[net.Listener]struct{}), conns: make(map[*conn]struct{}),
+		cfg: cfg, behind: newSharedLimit(cfg.MaxBehind), held: newSharedLimit(cfg.MaxHeldTotal), collected: newSharedLimit(cfg.MaxCollectedTotal),
+		workers: newWorkers(), listeners: make(map[net.Listener]struct{}), conns: make(map[*conn]struct{}),
 	}
 	s.ended.L = &s.mu
 	return s, nil
@@ -155,6 +165,7 @@
 	c.MaxBehind = cmp.Or(c.MaxBehind, DefaultMaxBehind)
 	c.MaxHeld = cmp.Or(c.MaxHeld, DefaultMaxHeld)
 	c.MaxHeldTotal = cmp.Or(c.MaxHeldTotal, DefaultMaxHeldTotal)
+	c.MaxCollectedTotal = cmp.Or(c.MaxCollectedTotal, DefaultMaxCollectedTotal)
 	c.ReadAhead = cmp.Or(c.ReadAhead, DefaultReadAhead)
 	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, DefaultHeaderTimeout)
@@ -319,6 +330,16 @@
 	}
 }
 
+// Collect reports whether the handler of a context's request should keep its response until
+// it is whole, since requests behind it on the connection have begun. The total is how many
+// bytes of the response, which is at most the rest of it, are to be kept; a handler that does
+// not know how long it is asks again for more. If Collect returns false, the response may be
+// sent as it comes, and no request begins behind it until the handler returns.
+func Collect(ctx context.Context, total int) bool {
+	r, ok := ctx.Value(responseKey{}).(*response)
+	return ok && r.conn.collect(r, total)
+}
+
 type noMetrics struct{}
 
 func (noMetrics) PipelinedRequest(int)       {}
