upstream: a worker that pauses is not broken off before the deadline

A request whose worker read nothing, or sent nothing of its response, for 30 s was broken off, though its deadline, of up to a minute and more, had not passed. Silence of a worker is no reason to end a request.

Each write and read had a limit of its own. It holds now only up to where the deadline of the request begins to count; requests without one keep it.

--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -145,7 +145,7 @@
 	// Dial opens connections. Default: a net.Dialer.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// ProgressTimeout limits each write of a request and each read of a response
-	// body. Default 30 s.
+	// body, unless the deadline of the context is later. Default 30 s.
 	ProgressTimeout time.Duration
 	// MaxOpen bounds the open connections to all upstreams together. At the bound the
 	// least recently used idle one is closed. 0 means no limit.
--- a/transport/upstream/exchange.go
+++ b/transport/upstream/exchange.go
@@ -78,6 +78,8 @@
 	worker  Worker
 	req     *Request
 	begunAt time.Time
+	// deadline is that of the context, zero if it has none.
+	deadline time.Time
 	// writeStarted is set before the first byte is written to the connection.
 	writeStarted  atomic.Bool
 	sendDone      chan struct{}
@@ -97,6 +99,7 @@
 		return nil, err
 	}
 	x := &exchange{client: c, conn: conn, worker: w, req: req, begunAt: c.cfg.Now(), sendDone: make(chan struct{})}
+	x.deadline, _ = ctx.Deadline()
 	x.detachContext = context.AfterFunc(ctx, conn.abort)
 	x.startSilenceWatch()
 	go x.send()
@@ -154,6 +157,16 @@
 	return errors.Is(err, errClosed) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// progressDeadline returns when the write or read that begins now fails. A worker that pauses is
+// not broken off before the deadline of the request.
+func (x *exchange) progressDeadline() time.Time {
+	due := time.Now().Add(x.client.cfg.ProgressTimeout)
+	if x.deadline.After(due) {
+		return x.deadline
+	}
+	return due
+}
+
 // failureCause returns why the connection failed, given the error of a read. An error of a
 // socket is reported once: if a write got it, a read sees the end of the stream, as if the
 // upstream had closed the connection.
@@ -376,7 +389,7 @@
 	if w.x.stopped.Load() {
 		return 0, errClosed
 	}
-	_ = w.x.conn.raw.SetWriteDeadline(time.Now().Add(w.x.client.cfg.ProgressTimeout))
+	_ = w.x.conn.raw.SetWriteDeadline(w.x.progressDeadline())
 	w.x.writeStarted.Store(true)
 	return w.x.conn.raw.Write(p)
 }
@@ -392,7 +405,7 @@
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
-	_ = b.exchange.conn.raw.SetReadDeadline(time.Now().Add(b.exchange.client.cfg.ProgressTimeout))
+	_ = b.exchange.conn.raw.SetReadDeadline(b.exchange.progressDeadline())
 	n, err := b.source.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
