poison: crashes at one moment leave a request time to be answered

The third crash without an answer decided at once, though nothing had had time to be answered. A request has a second since its first crash now, unless it has five crashes or was quarantined before; crashes further apart decide as before.

TestDetector's new case is quarantined without the change, not with it.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -9,7 +9,8 @@
 // cause from the other requests by three rules:
 //
 //   - It is never answered. A popular request that is cut off by crashes is answered
-//     by other workers all the time, and an answer clears it.
+//     by other workers all the time, and an answer clears it. It must have had a second
+//     for that, unless its crashes are many.
 //   - It is present every time. Three crashes are needed; hang-ups of one worker that
 //     lie close together count as one crash.
 //   - It explains the crashes. Of requests that were in flight at the same crashes, the
@@ -39,6 +40,13 @@
 	// crashWindow is the maximum time between hang-ups of a worker that count as one
 	// crash. It covers the delay until all VMs notice, and a restart takes longer.
 	crashWindow = 300 * time.Millisecond
+	// answerDelay is how long a request must have had to be answered since the first of its
+	// crashes. Crashes that others cause at the same moment, as after a failure of the path to
+	// the workers, leave a popular request no time for an answer that would clear it.
+	answerDelay = time.Second
+	// certainCrashes is how many crashes are enough without that delay. It bounds what a
+	// request that crashes workers may do meanwhile.
+	certainCrashes = 5
 	// tieDelay is how long detection waits for another crash while several requests
 	// were in flight at equally many crashes, some of them the same.
 	tieDelay = time.Second
@@ -206,13 +214,21 @@
 	if s.eligibleSince.IsZero() {
 		s.eligibleSince = now
 	}
-	if d.hasRival(s) && now.Sub(s.eligibleSince) < tieDelay {
+	tied := d.hasRival(s) && now.Sub(s.eligibleSince) < tieDelay
+	if tied || !repeat && s.mayBeAnswered(now) {
 		d.dirty = true
 		return false
 	}
 	return true
 }
 
+// mayBeAnswered reports whether the crashes of a request are so few and so recent that an
+// answer may still clear it.
+func (s *suspect) mayBeAnswered(now time.Time) bool {
+	first := slices.MinFunc(s.crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	return len(s.crashes) < certainCrashes && now.Sub(first.at) < answerDelay
+}
+
 // ranked returns the undetected requests, those with the most crashes first.
 func (d *Detector) ranked() []*suspect {
 	var list []*suspect
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -46,7 +46,7 @@
 		}
 		decide()
 	}
-	for range 3 { // lets tieDelay pass
+	for range 3 { // lets tieDelay and answerDelay pass
 		clock.Advance(time.Second)
 		decide()
 	}
@@ -66,6 +66,16 @@
 			{gap, "w1", bad, ""}, {50 * time.Millisecond, "w1", bad, ""}, {50 * time.Millisecond, "w1", bad, ""},
 		}},
 		"a worker that restarts under its id": {steps: []step{{gap, "w1", bad, ""}, {gap, "w1", bad, ""}, {gap, "w1", bad, ""}}, want: bad},
+		"crashes at one moment, answered right after": {steps: []step{
+			{gap, "w1", bad, ""}, {100 * time.Millisecond, "w2", bad, ""}, {250 * time.Millisecond, "w3", bad, ""}, {300 * time.Millisecond, "w4", other[1:], "bad"},
+		}},
+		"crashes at one moment, never answered": {steps: []step{
+			{gap, "w1", bad, ""}, {100 * time.Millisecond, "w2", bad, ""}, {250 * time.Millisecond, "w3", bad, ""},
+		}, want: bad},
+		"many crashes at one moment": {steps: []step{
+			{gap, "w1", bad, ""}, {10 * time.Millisecond, "w2", bad, ""}, {10 * time.Millisecond, "w3", bad, ""}, {10 * time.Millisecond, "w4", bad, ""},
+			{10 * time.Millisecond, "w5", bad, ""}, {10 * time.Millisecond, "w6", nil, "bad"},
+		}, want: bad},
 		"answered in between": {steps: []step{
 			{gap, "w1", bad, ""}, {gap, "w2", bad, "bad"}, {gap, "w3", bad, ""}, {gap, "w4", bad, ""},
 		}},
