--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -73,8 +73,12 @@
 			{gap, "w1", bad, ""}, {100 * time.Millisecond, "w2", bad, ""}, {250 * time.Millisecond, "w3", bad, ""},
 		}, want: bad},
 		"many crashes at one moment": {steps: []step{
-			{gap, "w1", bad, ""}, {10 * time.Millisecond, "w2", bad, ""}, {10 * time.Millisecond, "w3", bad, ""}, {10 * time.Millisecond, "w4", bad, ""},
-			{10 * time.Millisecond, "w5", bad, ""}, {10 * time.Millisecond, "w6", nil, "bad"},
+			{gap, "w1", bad, ""},
+			{10 * time.Millisecond, "w2", bad, ""},
+			{10 * time.Millisecond, "w3", bad, ""},
+			{10 * time.Millisecond, "w4", bad, ""},
+			{10 * time.Millisecond, "w5", bad, ""},
+			{10 * time.Millisecond, "w6", nil, "bad"},
 		}, want: bad},
 		"answered in between": {steps: []step{
 			{gap, "w1", bad, ""}, {gap, "w2", bad, "bad"}, {gap, "w3", bad, ""}, {gap, "w4", bad, ""},
