ingress: a proxy heeds the signals that it passes on

A worker that asked for a rest, named a limit or said that it leaves, in a response that one VM passed on for another, went on to get that VM's own requests: only the VM of the client read the signals.

Both read them now with one reader; what it records goes to the VM of the client. TestProxyHeedsSignalsThatItPassesOn fails without the two calls.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -87,6 +87,17 @@
 	return g.outgoingSignals()[incarnation].GetEndedMillis() > 0
 }
 
+// IsResting reports whether a worker has asked this VM for a rest that goes on.
+func (g *Gateway) IsResting(id string) bool {
+	s := g.snapshot.Load()
+	w, ok := s.Workers.Get(id)
+	if !ok {
+		return false
+	}
+	_, resting := g.placer.Availability(s)(w).(worker.Resting)
+	return resting
+}
+
 // RecordConnectionsClosed records that an incarnation of a worker closed all connections.
 func (g *Gateway) RecordConnectionsClosed(incarnation string) {
 	g.loads.GetOrCreate(incarnation).RecordAllConnectionsClosed()
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -259,3 +259,26 @@
 		return len(f.resolvedAddresses(f.vms[2], "north")) == 2
 	})
 }
+
+// Guards against a proxy that goes on to send its own requests to a worker which asked for a rest
+// in a response that the proxy passed on.
+func TestProxyHeedsSignalsThatItPassesOn(t *testing.T) {
+	t.Parallel()
+	f, _ := startForwardFleet(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Rest", "20s")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	f.store.put(kindWorkers, "tired", worker.Worker{Service: "s", Hall: "north-a", Slots: 8, Address: strings.TrimPrefix(s.URL, "http://")})
+	for _, v := range f.vms {
+		f.waitFor(v.name+" knows the worker", func() bool { return v.KnowsWorker("tired") })
+	}
+	f.waitFor("the isolated VM has heard of the rest", func() bool {
+		f.sendOnce(f.vms[0], rand.IntN(isolationPaths))
+		return f.vms[0].IsResting("tired")
+	})
+	if !f.vms[1].IsResting("tired") && !f.vms[2].IsResting("tired") {
+		t.Error("no VM that passed the response on heeds the rest")
+	}
+}
--- a/transport/ingress/attempt.go
+++ b/transport/ingress/attempt.go
@@ -142,7 +142,7 @@
 		next.Load().End() // The response arrived while the timer fired.
 	}
 	defer res.Close()
-	q.workerQueue = q.readSignals(c, res.Status(), res.Header())
+	q.workerQueue = q.signals(c).read(res.Status(), res.Header())
 	if q.proxy == "" {
 		q.readConnection(c, res)
 	}
@@ -207,9 +207,7 @@
 	}
 	f.notRun = failed.NotRun()
 	f.unsent = failed.Kind() == upstream.KindUnreachable || failed.Kind() == upstream.KindBusy
-	if failed.Kind() != upstream.KindWrongWorker { // Otherwise the header is from a different worker.
-		q.readSignals(c, failed.Status(), failed.Header())
-	}
+	q.signals(c).readFailure(failed)
 	switch failed.Kind() {
 	case upstream.KindShed, upstream.KindBusy:
 		f.cause = retry.CauseShed
--- a/transport/ingress/forward.go
+++ b/transport/ingress/forward.go
@@ -202,11 +202,20 @@
 	x.load = cfg.Placer.Load(w)
 	x.load.Begin()
 	target := x.handler.target(s, *w)
+	signals := signalReader{
+		handler: x.handler, worker: *w, load: x.load, requestID: r.ID, sentAt: cfg.Now(),
+		addInput: func(_, _ string) {}, // The VM of the client records them.
+	}
 	res, err := cfg.Upstreams.Do(ctx, target, r.Exchange)
 	if err != nil {
+		var failed *upstream.Error
+		if errors.As(err, &failed) {
+			signals.readFailure(failed)
+		}
 		x.recordFailure(ctx, r, *w, target, err)
 		return nil, err
 	}
+	signals.read(res.Status(), res.Header())
 	x.load.RecordOutcome(countsAgainstWorker(res.Status()))
 	x.load.RecordResponse()
 	return res, nil
