gateway: where no other worker is there, cold and limited ones are checked

Callers of a popular request got 503 for ten minutes at all VMs: these had lost all workers while those left were cold or named limits, and held the lost connections against the request.

A VM in doubt of its path checks workers, but none that want few requests; with none to check, failures counted as the workers'. Cold and limited workers are checked now if there are no others.

TestReachIsCheckedWhereAllWorkersWantFewRequests/cold: not noticed in 15 s before, within 4 s now.

--- a/internal/gateway/isolation.go
+++ b/internal/gateway/isolation.go
@@ -131,18 +131,23 @@
 }
 
 // workersToCheck returns a random worker of each distance. Workers that have failed are
-// taken only if there are no others at the distance, and those that want no requests, or
-// few, not at all.
+// taken only if there are no others at the distance, and those that want few requests only if
+// there are no others at all: without a check, failures count against their workers. Those
+// that want none are never taken.
 func (g *Gateway) workersToCheck(s *placement.Snapshot) []*worker.Worker {
 	suspects, now := g.isolation.monitor.Suspects(), clock.Now()
 	availability := g.placer.Availability(s)
-	var sound, failed [distances]reservoir
+	var sound, failed, sparing [distances]reservoir
 	for _, w := range s.Workers.All() {
-		if now.Before(w.ColdUntil) {
+		distance := g.distance(w)
+		available := availability(w)
+		if _, limited := available.(worker.Limited); limited || now.Before(w.ColdUntil) {
+			if wantsSome(available) {
+				sparing[distance].add(w)
+			}
 			continue
 		}
-		distance := g.distance(w)
-		switch availability(w).(type) {
+		switch available.(type) {
 		case worker.Ready:
 			if suspects[w.ID] {
 				failed[distance].add(w)
@@ -154,18 +159,36 @@
 		case worker.Departed, worker.Resting, worker.Limited:
 		}
 	}
-	var chosen []*worker.Worker
-	for distance := range sound {
+	if chosen := chooseEach(sound, failed); len(chosen) > 0 {
+		return chosen
+	}
+	return chooseEach(sparing, [distances]reservoir{})
+}
+
+// chooseEach returns a worker of each distance, from preferred if it has one there, else from
+// others.
+func chooseEach(preferred, others [distances]reservoir) (chosen []*worker.Worker) {
+	for distance := range preferred {
 		switch {
-		case sound[distance].kept != nil:
-			chosen = append(chosen, sound[distance].kept)
-		case failed[distance].kept != nil:
-			chosen = append(chosen, failed[distance].kept)
+		case preferred[distance].kept != nil:
+			chosen = append(chosen, preferred[distance].kept)
+		case others[distance].kept != nil:
+			chosen = append(chosen, others[distance].kept)
 		}
 	}
 	return chosen
 }
 
+// wantsSome reports whether a worker wants any requests.
+func wantsSome(a worker.Availability) bool {
+	switch a.(type) {
+	case worker.Departed, worker.Resting:
+		return false
+	default:
+		return true
+	}
+}
+
 // distances is the number of values of distance.
 const distances = 3
 
