ingress: the pipeline alone bounds what is collected

A response whose rest was over 8 MiB was sent as it came without the pipeline knowing, so that requests could begin behind it; and one of unknown length had no bound of its own. The shared limit decides alone now, and its sum cannot overflow.

--- a/transport/ingress/response.go
+++ b/transport/ingress/response.go
@@ -41,10 +41,9 @@
 	// maxBufferedResponse is how many bytes of a response body are buffered before
 	// the header is sent to the client. Up to then a failed attempt can be retried.
 	maxBufferedResponse = 256 << 10
-	// maxCollectedResponse is how many bytes of a response body are collected at most while
-	// requests behind it on its connection run, and collectStep how many are asked for at a
-	// time if its length is unknown.
-	maxCollectedResponse, collectStep = 8 << 20, 64 << 10
+	// collectStep is how many bytes of a response body of unknown length are collected at a
+	// time while requests behind it on its connection run.
+	collectStep = 64 << 10
 	// minRetryAfter and retryAfterJitter determine the Retry-After of a refused
 	// request unless a worker has room only later. The jitter
 	// spreads the retries of clients that were refused at the same time.
@@ -97,24 +96,25 @@
 	return nil
 }
 
-// bufferResponse reads the start of a response, and the whole of it if the connection of the
-// client must not be closed by a response that breaks off. It reports whether the whole was read.
+// bufferResponse reads the start of a response, and the whole of it while requests behind it on
+// the connection of the client run, whose responses would be lost if this one broke off after it
+// was sent in part. It reports whether the whole was read.
 func (q *request) bufferResponse(buffered *bytes.Buffer, res *upstream.Response) (complete bool, err error) {
 	n, err := io.Copy(buffered, io.LimitReader(res.Body(), maxBufferedResponse))
 	if err != nil || n < maxBufferedResponse {
 		return true, err
 	}
 	for {
-		step := max(res.Length()-int64(buffered.Len()), 0)
-		if res.Length() < 0 {
-			step = collectStep
+		rest := int64(collectStep)
+		if res.Length() >= 0 {
+			rest = max(res.Length()-int64(buffered.Len()), 0)
 		}
-		if step > maxCollectedResponse || !pipeline.Collect(q.req.Context(), buffered.Len()+int(step)) {
+		if !pipeline.Collect(q.req.Context(), buffered.Len()+int(rest)) {
 			return false, nil
 		}
-		// One byte more than the rest: a body ends with io.EOF only if it is complete.
-		n, err := io.Copy(buffered, io.LimitReader(res.Body(), step+1))
-		if err != nil || n <= step {
+		// One byte more than the rest, since a body ends with io.EOF only if it is complete.
+		n, err := io.Copy(buffered, io.LimitReader(res.Body(), rest+1))
+		if err != nil || n <= rest {
 			return true, err
 		}
 	}
--- a/transport/pipeline/limit.go
+++ b/transport/pipeline/limit.go
@@ -19,7 +19,7 @@
 func (l *sharedLimit) take(holding, n int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if holding+n > l.size-l.used {
+	if n > l.size-l.used-holding { // A sum of n could overflow.
 		return false
 	}
 	l.used += n
--- a/transport/pipeline/server.go
+++ b/transport/pipeline/server.go
@@ -332,9 +332,9 @@
 
 // Collect reports whether the handler of a context's request should keep its response until
 // it is whole, since requests behind it on the connection have begun. The total is how many
-// bytes of the response, which is at most the rest of it, are to be kept; a handler that does
-// not know how long it is asks again for more. If Collect returns false, the response may be
-// sent as it comes, and no request begins behind it until the handler returns.
+// bytes of the response are to be kept; a handler that does not know its length asks again with
+// a larger total. If Collect returns false, the response may be sent as it comes, and no request
+// begins behind it until the handler returns.
 func Collect(ctx context.Context, total int) bool {
 	r, ok := ctx.Value(responseKey{}).(*response)
 	return ok && r.conn.collect(r, total)
