--- a/transport/upstream/client.go
+++ b/transport/upstream/client.go
@@ -357,7 +357,7 @@
 	c.cfg.Observer.Opened(w)
 	created := newConn(raw, p, c.cfg.IdleTimeout)
 	if c.cfg.AckTimeout > 0 {
-		created.transmission = watchTransmission(raw)
+		created.transmission = newTransmissionReader(raw)
 	}
 	created.processStart, created.opened = w.Start, c.cfg.Now()
 	return created, nil
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -33,8 +33,8 @@
 	// less by the upstream's Keep-Alive header.
 	idleTimeout time.Duration
 	closeOnce   sync.Once
-	// transmission describes what was sent, or is nil where the operating system ends the
-	// connection to a silent peer, or nobody does.
+	// transmission describes what was sent. It is nil where the connection has a user timeout
+	// instead, or where the system does not tell.
 	transmission func() (transmission, error)
 
 	// watchDone is closed when the goroutine that watches the idle connection
--- a/transport/upstream/silence.go
+++ b/transport/upstream/silence.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// silenceInterval is the time between two looks at the connection of an exchange.
+	// silenceInterval is the time between two checks of the connection of an exchange.
 	silenceInterval = 150 * time.Millisecond
 	// minUnansweredProbes is the number of window probes in a row without an answer that
 	// show a silent peer. A single one may have been lost.
@@ -61,9 +61,9 @@
 	silentFor time.Duration
 }
 
-// observe takes a look at the connection, elapsed after the one before or after the start of
-// the exchange, and reports whether the peer is silent. A long pause between two looks counts
-// as a short one, since this machine may have been suspended.
+// observe takes the result of a check, elapsed after the one before or after the start of the
+// exchange, and reports whether the peer is silent. A long pause between two checks counts as a
+// short one, since this machine may have been suspended.
 func (d *silenceDetector) observe(t transmission, elapsed time.Duration) bool {
 	if !t.inFlight {
 		d.silentFor = 0
@@ -84,27 +84,28 @@
 	// detected is set before the connection is closed for the silence of the peer.
 	detected atomic.Bool
 
-	mu      sync.Mutex
-	timer   *time.Timer
-	lookAt  time.Time // the time of the last look
-	stopped bool
+	mu        sync.Mutex
+	timer     *time.Timer
+	lastCheck time.Time
+	stopped   bool
 }
 
-// startSilenceWatch starts a watch, unless the operating system does it or can't.
+// startSilenceWatch starts a watch, unless the user timeout of the connection takes its place
+// or nothing is known of what was sent.
 func (x *exchange) startSilenceWatch() {
 	if x.conn.transmission == nil {
 		return
 	}
-	w := &silenceWatch{exchange: x, detector: silenceDetector{timeout: x.client.cfg.AckTimeout}, lookAt: time.Now()}
+	w := &silenceWatch{exchange: x, detector: silenceDetector{timeout: x.client.cfg.AckTimeout}, lastCheck: time.Now()}
 	x.silence = w
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(silenceInterval, w.look)
+	w.timer = time.AfterFunc(silenceInterval, w.check)
 }
 
-// look examines the connection and schedules the next look, unless the peer is silent or has
+// check examines the connection and schedules the next check, unless the peer is silent or has
 // acknowledged the whole request.
-func (w *silenceWatch) look() {
+func (w *silenceWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped {
@@ -115,8 +116,8 @@
 		return // The connection is closed.
 	}
 	now := time.Now()
-	elapsed := now.Sub(w.lookAt)
-	w.lookAt = now
+	elapsed := now.Sub(w.lastCheck)
+	w.lastCheck = now
 	if w.detector.observe(sent, elapsed) {
 		w.detected.Store(true)
 		w.exchange.conn.abort()
--- a/transport/upstream/silence_linux.go
+++ b/transport/upstream/silence_linux.go
@@ -37,11 +37,11 @@
 	}
 }
 
-// watchTransmission returns a function that describes what was sent on a connection, and
+// newTransmissionReader returns a function that describes what was sent on a connection, and
 // removes the connection's user timeout in exchange: TCP_USER_TIMEOUT also ends connections
 // to peers that acknowledge everything but keep their receive window closed. It returns nil,
 // and leaves the user timeout, where the system does not count segments and acknowledgments.
-func watchTransmission(c net.Conn) func() (transmission, error) {
+func newTransmissionReader(c net.Conn) func() (transmission, error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
--- a/transport/upstream/silence_linux_test.go
+++ b/transport/upstream/silence_linux_test.go
@@ -140,8 +140,8 @@
 // Guards against holding a request until its deadline if the machine of its worker is gone.
 func TestSilentPeerIsNoticed(t *testing.T) {
 	const (
-		// lookTime is what may be added by the interval at which connections are looked at.
-		lookTime = 300 * time.Millisecond
+		// checkTime is what may be added by the interval at which connections are checked.
+		checkTime = 300 * time.Millisecond
 		// probeTime is the time in which two window probes are sent, when one was just answered.
 		probeTime = 2 * time.Second
 	)
@@ -151,7 +151,7 @@
 		silentAfter time.Duration
 		within      time.Duration
 	}{
-		"at the start of an upload":       {8 << 20, 0, testAckTimeout + lookTime},
+		"at the start of an upload":       {8 << 20, 0, testAckTimeout + checkTime},
 		"while its window is closed":      {8 << 20, 500 * time.Millisecond, testAckTimeout + probeTime},
 		"while its window is long closed": {8 << 20, 4 * time.Second, testAckTimeout + probeTime},
 		"all is in the send buffer":       {300_000, 2 * time.Second, testAckTimeout + probeTime},
--- a/transport/upstream/silence_other.go
+++ b/transport/upstream/silence_other.go
@@ -16,5 +16,5 @@
 	return nil
 }
 
-// watchTransmission returns nil: the system does not tell what was acknowledged.
-func watchTransmission(net.Conn) func() (transmission, error) { return nil }
+// newTransmissionReader returns nil: the system does not tell what was acknowledged.
+func newTransmissionReader(net.Conn) func() (transmission, error) { return nil }
--- a/transport/upstream/silence_test.go
+++ b/transport/upstream/silence_test.go
@@ -13,11 +13,11 @@
 	const never = 100
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	cases := map[string]struct {
-		// at returns what is seen at the nth look, from 1.
+		// at returns the result of the nth check, from 1.
 		at func(n int) transmission
-		// pause is the time between two looks.
+		// pause is the time between two checks.
 		pause time.Duration
-		// found is the look at which the peer counts as silent.
+		// found is the check at which the peer counts as silent.
 		found int
 	}{
 		"nothing sent": {
@@ -56,7 +56,7 @@
 				return transmission{unsent: true, unansweredProbes: n / 2, sinceSent: ms(150 * n), sinceAck: ms(150 * n)}
 			}, found: 6,
 		},
-		"suspended between two looks": {
+		"suspended between two checks": {
 			at: func(n int) transmission {
 				return transmission{inFlight: true, sinceSent: ms(60_000 * n), sinceAck: ms(60_000 * n)}
 			}, pause: time.Minute, found: 3,
@@ -72,13 +72,13 @@
 			for n := 1; n <= never; n++ {
 				if d.observe(c.at(n), pause) {
 					if n != c.found {
-						t.Fatalf("silent at look %d, want %d", n, c.found)
+						t.Fatalf("silent at check %d, want %d", n, c.found)
 					}
 					return
 				}
 			}
 			if c.found != never {
-				t.Fatalf("not silent after %d looks, want %d", never, c.found)
+				t.Fatalf("not silent after %d checks, want %d", never, c.found)
 			}
 		})
 	}
